--- /dev/null
+++ b/choice/api.go
@@ -0,0 +1,128 @@
+// The interface of the module: what a front tells it and what it may do. Nothing is decided here.
+
+package choice
+
+// ServerID and SessID are ids as the front's wire gives them.
+type (
+	ServerID uint32
+	SessID   string
+)
+
+// Acts is what the module can have done. All acts are given from within Settle.
+type Acts interface {
+	Rung(id SessID, rung int)                       // set the session's rung
+	Setup(id SessID, server ServerID, wait float64) // send a SETUP, waiting so many seconds at most
+	BusyReply(id SessID, comeBack float64)          // final answer: busy; 0 gives no advice
+	TearDown(id SessID)                             // final answer: failed
+	Move(id SessID)                                 // end a playing session so that it comes back to this front
+	Probe(server ServerID)                          // examine a server
+	Wake(after float64)                             // call Due after so many seconds
+}
+
+// Reporting says when servers tell their load.
+type Reporting int
+
+// Servers report never, with their answers, or with probe results only.
+const (
+	ReportsNever Reporting = iota
+	ReportsInAnswers
+	ReportsInProbes
+)
+
+// ServiceGroup is one service group's terms.
+type ServiceGroup struct {
+	Utility      float64 // of a second at a rung of utility 1
+	Scale        float64 // its rates over those of the ladder
+	StartTarget  float64 // seconds within which an answer is wanted
+	SetupTimeout float64 // seconds after which viewers give up
+	Paid         bool    // a SETUP is paid for and must not be repeated
+	Floor, Top   int     // lowest and highest rung
+	Seats        int     // sessions of one title that a front may hold; 0 is no cap
+}
+
+// StartFigures is what a front knows when it starts. The module derives its own figures and drops the rest.
+type StartFigures struct {
+	Seed           uint64
+	Me, Fronts     int
+	Zone           int
+	Groups         []ServiceGroup
+	Ladder         []float64 // kB a second for each rung
+	RungUtility    []float64 // what each rung earns
+	Cells, Racks   int
+	LinkPerHeft    float64   // kB a second of link for each unit of heft
+	FleetLinks     float64   // kB a second of all links together
+	UplinkMean     float64   // kB a second of a rack's uplink
+	Places         []float64 // streams at most, for each kind of server
+	NoteLag        float64   // seconds that notes lag
+	NoteEvery      float64   // seconds between load notes; 0 is none
+	SwitchCost     float64   // seconds of utility lost with a change of rung
+	StallCost      float64   // points of utility lost for each missing point of the rate
+	MostSetups     int       // SETUPs at most for one request
+	Advice         float64   // longest advice on coming back that viewers follow; 0 is none
+	Probes         bool
+	ProbePrice     float64 // for a probe, in sessions
+	MovePrice      float64 // for a move, in sessions
+	CrossZonePrice float64 // for a session that crosses zones, in sessions
+	Reporting      Reporting
+	WarmUp         float64 // a started server is warm after so many seconds
+	ColdShare      float64 // and starts at this share of its capacity
+	FallFactor     float64 // sent so many times what it can take
+	FallTime       float64 // for so many seconds, a cold server falls over
+	SpareSetups    float64 // further SETUPs allowed however few sessions are taken
+	SetupShare     float64 // and for each session taken
+	SetupWindow    float64 // within so many seconds; 0 is no budget
+}
+
+// Lifecycle is what the directory knows of a server.
+type Lifecycle int
+
+// A server is gone, ready or draining.
+const (
+	Gone Lifecycle = iota
+	Ready
+	Draining
+)
+
+// Listing is one server in the directory.
+type Listing struct {
+	ID               ServerID
+	Zone, Kind, Cell int
+	State            Lifecycle
+	Heft             float64
+	Born             float64 // instant of its most recent start; 0 is long ago
+}
+
+// Request is a session to be set up, or one handed over.
+type Request struct {
+	ID        SessID
+	Group     int
+	Title     string
+	StartCell int
+	Span      int
+	BestRung  int
+	Expires   float64 // instant at which the viewer gives up
+	Length    float64 // expected length in seconds; 0 is not told
+	Moved     bool    // back from a move
+}
+
+// Outcome tells how a SETUP or a probe ended.
+type Outcome int
+
+// The outcomes. Full, NoConnection and Unsent prove that a SETUP never ran.
+const (
+	Served Outcome = iota + 1
+	ServerError
+	Full
+	TimedOut
+	NoConnection
+	Reset
+	Cancelled
+	Unsent
+)
+
+// Report is a server's word on its load; a negative figure was not told.
+type Report struct {
+	Link   float64 // asked of its link over what the link gives
+	Capped bool    // Link says 1 at most
+	Uplink float64 // the same for the uplink of its rack
+}
--- /dev/null
+++ b/choice/choice.go
@@ -0,0 +1,811 @@
+// Package choice decides for one front which server holds a session, at which rung, or turns it away.
+//
+// How it is called: New once, then At with the clock and one method an event, in order; Settle ends a batch.
+// Events change the wanted state; Settle alone works out the difference to the present and emits it as Acts.
+// The interface is in api.go. Instances share nothing, and use no clock or chance but what they are handed.
+//
+// Mechanisms beside the design (docs/design.md says when each acts):
+//  1. part:      a front's part of a link it shares, corrected by load reports and short-delivery notes
+//  2. surge:     demand that runs ahead of its smoothed figure counts at once
+//  3. silence:   a server whose silence is unusual is probed, set aside, and returns after it answers probes
+//  4. again:     further SETUPs within the start target, the ration and the terms of paid groups
+//  5. warming:   a cold server gets SETUPs in this front's slots only, and its link counts at its warm share
+//  6. survey:    probes spread over the racks where load is told to probes only
+package choice
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// Front is one instance of the module.
+type Front struct {
+	acts   Acts
+	now    float64
+	mwc    uint64
+	groups []group
+	places []float64 // streams at most, by kind of server
+
+	cells, racks, fronts, me, zone, most int
+
+	fleet, perPlace       float64 // all links together; link for each place, 0 before the first list
+	lag, every, advice    float64 // of notes, between load notes, on coming back
+	slot, warmUp, coldest float64 // a cold server's slot; its warm-up and first share
+	survey                float64 // probes for each session taken; 0 is no survey
+	spare, share, window  float64 // the ration of further SETUPs
+	probes                bool
+
+	servers        []*server        // by id; emptied of those gone once no session is left there
+	uplinks        []*link          // by rack
+	sess           map[SessID]*sess // emptied as sessions end
+	seats          map[seat]int     // SETUPs out and sessions held; emptied as outcomes come in
+	touched        []*sess          // wanted state may differ from the present; emptied by Settle
+	taken, further []float64        // requests and further SETUPs, when; emptied past the ration's window
+	nextDue, owed  float64          // the wake-up that is set; survey probes earned and not sent
+	setups         gaps             // how long SETUPs take to be answered
+}
+
+type group struct {
+	ServiceGroup
+	rates   []float64
+	premium int // 1 where its utility is above the lowest, else 0
+}
+
+type seat struct {
+	title string
+	group int
+}
+
+// link is a server's link or a rack's uplink, as this front sees it.
+type link struct {
+	told         float64
+	sess         []*sess    // SETUPs out and playing there; emptied as outcomes come in
+	demand       [2]float64 // smoothed top rates: the other groups, the premium ones
+	smoothed     float64    // when
+	lift, lifted float64    // what short-delivery notes lift demand to, and when
+	part, parted float64    // this front's part of the capacity, and when; 0 is never
+	past         [8]float64 // rung rates asked at the last ticks, newest first
+	short, noted float64    // share delivered, 1 when not short, and when
+	down, up     float64    // no step before
+}
+
+type server struct {
+	id             ServerID
+	zone, cell     int
+	state          Lifecycle
+	born           float64 // counts as cold from here; 0 is long ago
+	link, uplink   *link
+	life           gaps    // between signs of life
+	heard          float64 // last sign of life
+	aside          bool    // gets no sessions until it answers probes
+	good           int     // probes answered in a row while aside
+	probing, probe bool    // a probe is out, is wanted
+	probeAt        float64 // next probe while aside
+	full, slotted  float64 // full until; last SETUP while cold
+}
+
+// sess is a session from its request to its end.
+type sess struct {
+	id                   SessID
+	group                *group
+	seat                 seat
+	start, span, best    int
+	asked, expires, ends float64 // ends is expected; 0 is not told
+	switched             float64
+	holder               *server
+	tried                []*server
+	sent                 int  // SETUPs
+	out, plays, mayRan   bool // a SETUP is out; it plays; an earlier SETUP may have run
+	rung                 int  // in force
+	wantRung             int
+	wantOut              bool // a SETUP to holder is wanted
+	answer               answer
+}
+
+type answer int
+
+const (
+	none answer = iota
+	busy
+	tornDown
+	over
+)
+
+// gaps keeps the mean and the spread of a kind of gap.
+type gaps struct{ mean, dev float64 }
+
+func (g *gaps) add(x float64) {
+	if g.mean == 0 {
+		g.mean, g.dev = x, x/2
+		return
+	}
+	// An eighth, as for round trips in TCP: some ten gaps are remembered.
+	g.dev += (math.Abs(x-g.mean) - g.dev) / 8
+	g.mean += (x - g.mean) / 8
+}
+
+// New starts a front.
+func New(now float64, s StartFigures, acts Acts) *Front {
+	f := &Front{acts: acts, now: now, mwc: s.Seed%0xfffffffe + 1, places: s.Places, fleet: s.FleetLinks,
+		cells: max(s.Cells, 1), racks: max(s.Racks, 1), fronts: max(s.Fronts, 1), me: s.Me, zone: s.Zone,
+		most: max(s.MostSetups, 1), lag: s.NoteLag, every: s.NoteEvery, advice: s.Advice, warmUp: s.WarmUp,
+		coldest: s.ColdShare, probes: s.Probes, spare: s.SpareSetups, share: s.SetupShare,
+		window: s.SetupWindow, sess: map[SessID]*sess{}, seats: map[seat]int{}}
+	lowest := math.Inf(1)
+	for _, g := range s.Groups {
+		lowest = min(lowest, g.Utility)
+	}
+	for _, g := range s.Groups {
+		rates := make([]float64, len(s.Ladder))
+		for i, r := range s.Ladder {
+			rates[i] = r * g.Scale
+		}
+		f.groups = append(f.groups, group{g, rates, 0})
+		if g.Utility > lowest {
+			f.groups[len(f.groups)-1].premium = 1
+		}
+	}
+	for range f.racks {
+		f.uplinks = append(f.uplinks, &link{told: s.UplinkMean, short: 1})
+	}
+	// Where load is told to probes only, two sessions in five earn a probe: well under a point of service.
+	if s.Probes && s.Reporting == ReportsInProbes {
+		f.survey = 0.4
+	}
+	// The least that any kind may be sent within the fall time. Half of it is kept for chance and for sessions
+	// whose set-up is more work than the mean.
+	budget := math.Inf(1)
+	for _, p := range s.Places {
+		budget = min(budget, s.FallFactor*p/max(s.WarmUp, 1e-3)*s.ColdShare*s.FallTime)
+	}
+	if budget > 0 && !math.IsInf(budget, 1) {
+		f.slot = s.FallTime / (budget / 2)
+	}
+	return f
+}
+
+// At sets the clock; it comes before each batch of events.
+func (f *Front) At(now float64) { f.now = now }
+
+// chance is a multiply-with-carry generator's next number in [0, 1).
+func (f *Front) chance() float64 {
+	f.mwc = 4294957665*(f.mwc&0xffffffff) + f.mwc>>32
+	return float64(uint32(f.mwc)) / (1 << 32)
+}
+
+// Directory takes the list of servers, whole or changed entries only.
+func (f *Front) Directory(whole bool, list []Listing) {
+	first := f.perPlace == 0
+	if first {
+		// Heft is flat, so the fleet's links are split by the streams that each kind may run.
+		sum := 0.0
+		for _, e := range list {
+			sum += f.places[e.Kind]
+		}
+		f.perPlace = f.fleet / max(sum, 1)
+	}
+	named := map[ServerID]bool{}
+	for _, e := range list {
+		named[e.ID] = true
+		i, found := slices.BinarySearchFunc(f.servers, e.ID, byID)
+		if !found {
+			f.servers = slices.Insert(f.servers, i, &server{id: e.ID, link: &link{short: 1}})
+		}
+		s := f.servers[i]
+		// Guards against a start that the directory tells late or without its instant: a server first named
+		// later than the first list is cold from now. It could keep a warm server slow for one warm-up.
+		if !found && !first && e.Born == 0 {
+			s.born = f.now
+		}
+		if e.Born > s.born {
+			s.born, s.aside, s.heard = e.Born, false, 0
+		}
+		s.zone, s.cell, s.state = e.Zone, e.Cell, e.State
+		s.link.told = f.perPlace * f.places[e.Kind]
+		s.uplink = f.uplinks[e.Cell%f.racks]
+	}
+	for _, s := range f.servers {
+		if whole && !named[s.id] {
+			s.state = Gone
+		}
+	}
+	f.servers = slices.DeleteFunc(f.servers, func(s *server) bool {
+		return s.state == Gone && len(s.link.sess) == 0 && !s.probing
+	})
+}
+
+// Ask takes a request.
+func (f *Front) Ask(r Request) {
+	s := f.admit(r)
+	f.taken = append(f.taken, f.now)
+	f.owed += f.survey
+	f.place(s)
+}
+
+// Handed takes over a session that plays already.
+func (f *Front) Handed(r Request, id ServerID) {
+	s := f.admit(r)
+	s.plays, s.sent = true, 1
+	if sv := f.server(id); sv != nil {
+		f.join(s, sv)
+	}
+}
+
+func (f *Front) admit(r Request) *sess {
+	g := &f.groups[r.Group]
+	s := &sess{id: r.ID, group: g, seat: seat{r.Title, r.Group}, start: r.StartCell, span: r.Span,
+		best: max(min(r.BestRung, g.Top, len(g.rates)-1), g.Floor), asked: f.now, expires: r.Expires,
+		rung: g.Floor, wantRung: g.Floor}
+	if r.Length > 0 {
+		s.ends = f.now + r.Length
+	}
+	f.sess[r.ID] = s
+	return s
+}
+
+// join puts a session on a server's link and uplink and takes its seat.
+func (f *Front) join(s *sess, sv *server) {
+	f.smooth(sv.link)
+	f.smooth(sv.uplink)
+	s.holder = sv
+	sv.link.sess = append(sv.link.sess, s)
+	sv.uplink.sess = append(sv.uplink.sess, s)
+	f.seats[s.seat]++
+}
+
+// leave takes it off again.
+func (f *Front) leave(s *sess) {
+	if s.holder == nil {
+		return
+	}
+	for _, l := range [2]*link{s.holder.link, s.holder.uplink} {
+		f.smooth(l)
+		l.sess = slices.DeleteFunc(l.sess, func(o *sess) bool { return o == s })
+	}
+	if f.seats[s.seat]--; f.seats[s.seat] <= 0 {
+		delete(f.seats, s.seat)
+	}
+	s.holder = nil
+}
+
+func byID(s *server, id ServerID) int { return cmp.Compare(s.id, id) }
+
+func (f *Front) server(id ServerID) *server {
+	if i, found := slices.BinarySearchFunc(f.servers, id, byID); found {
+		return f.servers[i]
+	}
+	return nil
+}
+
+// asks is what this front's sessions ask of a link at their wanted rungs: all, or the premium groups only.
+func (l *link) asks(premium bool) (sum float64) {
+	for _, s := range l.sess {
+		if !premium || s.group.premium == 1 {
+			sum += s.group.rates[s.wantRung]
+		}
+	}
+	return sum
+}
+
+// smooth brings a link's demand up to now: top rates of the front's own sessions there, over ten seconds.
+func (f *Front) smooth(l *link) {
+	const window = 10 // the design's
+	var top [2]float64
+	for _, s := range l.sess {
+		top[s.group.premium] += s.group.rates[s.best]
+	}
+	k := 1 - math.Exp((l.smoothed-f.now)/window)
+	for i := range top {
+		l.demand[i] += (top[i] - l.demand[i]) * k
+		// surge: a lost server's sessions land on few holders faster than smoothing follows.
+		l.demand[i] = max(l.demand[i], top[i])
+	}
+	l.smoothed = f.now
+}
+
+// mark is the target over the told size, below 1 for the spread of true rates about the ladder.
+const mark = 0.85
+
+// target is the bandwidth that this front may ask of a link: a mark below its part of the told size.
+func (f *Front) target(l *link, sv *server) float64 {
+	t := l.told * mark / float64(f.fronts)
+	if l.parted > 0 {
+		// What was seen fades into what is told: sessions turn over within some 30 s.
+		w := math.Exp((l.parted - f.now) / 30)
+		t = w*l.part + (1-w)*t
+	}
+	if sv != nil && l == sv.link {
+		t *= f.warm(sv)
+	}
+	return t
+}
+
+// warm is the share of its capacity that a server has reached.
+func (f *Front) warm(sv *server) float64 {
+	if sv.born == 0 || f.now-sv.born >= f.warmUp {
+		return 1
+	}
+	return f.coldest + (1-f.coldest)*max(f.now-sv.born, 0)/f.warmUp
+}
+
+// pressure is a group's demand, with more to come, over what it is scaled against, and that judged for busy.
+func (f *Front) pressure(l *link, sv *server, s *sess, more float64) (own, total float64) {
+	f.smooth(l)
+	t := max(f.target(l, sv), 1)
+	d := l.demand
+	d[s.group.premium] += more
+	// Lifts fade by e each window once notes stop.
+	if lift := l.lift * math.Exp((l.lifted-f.now)/5); lift > d[0]+d[1] && d[0]+d[1] > 0 {
+		k := lift / (d[0] + d[1])
+		d[0], d[1] = d[0]*k, d[1]*k
+	}
+	if s.group.premium == 1 {
+		return d[1] / t, d[1] / t
+	}
+	return d[0] / max(t-l.asks(true), 1), (d[0] + d[1]) / t
+}
+
+// rungFor is the design's rung: top rate by target over demand, smaller factor of link and uplink, nearest.
+func (f *Front) rungFor(s *sess, sv *server, more float64) int {
+	a, _ := f.pressure(sv.link, sv, s, more)
+	u, _ := f.pressure(sv.uplink, sv, s, more)
+	want := s.group.rates[s.best] / max(a, u, 1)
+	r := s.best
+	for i := s.best - 1; i >= s.group.Floor; i-- {
+		if math.Abs(s.group.rates[i]-want) < math.Abs(s.group.rates[r]-want) {
+			r = i
+		}
+	}
+	return r
+}
+
+// place chooses holder and rung, or turns the session away.
+func (f *Front) place(s *sess) {
+	f.touched = append(f.touched, s)
+	s.wantOut = false
+	if s.group.Seats > 0 && f.seats[s.seat] >= s.group.Seats || f.now >= s.expires ||
+		s.sent > 0 && (s.sent >= f.most || s.group.Paid && s.mayRan || !f.ration()) {
+		f.giveUp(s)
+		return
+	}
+	var best *server
+	room := math.Inf(-1)
+	top := s.group.rates[s.best]
+	for _, sv := range f.servers {
+		if (sv.cell-s.start+f.cells)%f.cells >= s.span || sv.state != Ready || sv.aside || f.now < sv.full ||
+			!f.open(sv) || slices.Contains(s.tried, sv) {
+			continue
+		}
+		_, a := f.pressure(sv.link, sv, s, 0)
+		_, u := f.pressure(sv.uplink, sv, s, 0)
+		if max(a, u) > 2 {
+			continue
+		}
+		// Near ties fall by chance, so that fronts that see alike don't all choose alike.
+		if r := f.room(sv) + top*0.02*f.chance(); r > room {
+			best, room = sv, r
+		}
+	}
+	if best == nil {
+		f.giveUp(s)
+		return
+	}
+	r := f.rungFor(s, best, top)
+	if r > s.group.Floor && s.group.rates[r] > f.room(best) {
+		r--
+	}
+	s.wantRung, s.wantOut = r, true
+	f.join(s, best)
+	if f.warm(best) < 1 {
+		best.slotted = f.now
+	}
+	if s.sent > 0 {
+		f.further = append(f.further, f.now)
+	}
+}
+
+// ration tells whether a further SETUP stays within the sliding budget. Requests count for a little less than
+// the window and further SETUPs for a little more, so that no rounding of instants breaks it.
+func (f *Front) ration() bool {
+	if f.window <= 0 {
+		return true
+	}
+	f.taken = slices.DeleteFunc(f.taken, func(t float64) bool { return f.now-t >= f.window*0.98 })
+	f.further = slices.DeleteFunc(f.further, func(t float64) bool { return f.now-t > f.window*1.02 })
+	return float64(len(f.further)+1) <= f.spare+f.share*float64(len(f.taken))
+}
+
+// open tells whether a server may have a SETUP now as far as its warming goes. Against all fronts, some just
+// restarted, meeting on a cold server: time is cut in slots that fronts own in turn, one SETUP a slot.
+// It would fail if fronts' clocks differed by more than a slot.
+func (f *Front) open(sv *server) bool {
+	if f.warm(sv) == 1 || f.slot == 0 {
+		return true
+	}
+	slot := math.Floor(f.now / f.slot)
+	return int(math.Mod(slot, float64(f.fronts))) == f.me%f.fronts && sv.slotted < slot*f.slot
+}
+
+// giveUp answers at once: busy where each SETUP provably never ran or may be repeated, else torn down.
+func (f *Front) giveUp(s *sess) {
+	s.answer = busy
+	if s.group.Paid && s.mayRan {
+		s.answer = tornDown
+	}
+}
+
+// Playing tells that a session's set-up is done.
+func (f *Front) Playing(id SessID, _ ServerID, took float64) {
+	if s := f.sess[id]; s != nil && s.holder != nil {
+		s.plays, s.switched = true, f.now
+		f.setups.add(took)
+		f.alive(s.holder)
+	}
+}
+
+// Ended tells how a SETUP ended; final means that no answer is owed.
+func (f *Front) Ended(id SessID, on ServerID, o Outcome, final bool, rep Report) {
+	sv := f.server(on)
+	if sv != nil {
+		switch o {
+		case Served, ServerError, Full:
+			f.alive(sv)
+			f.report(sv, rep, 0)
+		case TimedOut, NoConnection:
+			f.setAside(sv)
+		case Reset:
+			sv.probe = true
+		}
+		if o == Full && sv.state == Ready {
+			// It says that its link is full; a second is about how long a report takes to change.
+			sv.full = f.now + 1
+		}
+	}
+	s := f.sess[id]
+	if s == nil {
+		return
+	}
+	s.out = false
+	f.leave(s)
+	if final || s.answer != none {
+		s.answer = over
+		delete(f.sess, id)
+		return
+	}
+	if o != Full && o != NoConnection && o != Unsent {
+		s.mayRan = true
+	}
+	s.tried = append(s.tried, sv)
+	f.place(s)
+}
+
+// Left tells that the viewer gave up or that the request is over.
+func (f *Front) Left(id SessID) {
+	s := f.sess[id]
+	if s == nil {
+		return
+	}
+	if s.answer, s.wantOut = over, false; !s.out {
+		f.leave(s)
+		delete(f.sess, id)
+	}
+}
+
+// InForce tells the rung of a session handed over.
+func (f *Front) InForce(id SessID, rung int) {
+	if s := f.sess[id]; s != nil {
+		s.rung, s.wantRung = rung, rung
+	}
+}
+
+// Load takes a note of what is asked of a server's link, or its rack's uplink, over what that gives.
+func (f *Front) Load(id SessID, on ServerID, x float64, uplink bool) {
+	sv := f.server(on)
+	if sv == nil {
+		return
+	}
+	f.alive(sv)
+	l, lag := sv.link, f.lag
+	if uplink {
+		l = sv.uplink
+	}
+	if s := f.sess[id]; s != nil && s.switched == f.now {
+		lag = 0 // a note that comes with a set-up tells the present
+	}
+	f.reckon(l, x, lag)
+}
+
+func (f *Front) report(sv *server, r Report, lag float64) {
+	if r.Link >= 0 && (!r.Capped || r.Link < 0.999) {
+		f.reckon(sv.link, r.Link, lag)
+	}
+	if r.Uplink >= 0 {
+		f.reckon(sv.uplink, r.Uplink, lag)
+	}
+}
+
+// reckon corrects this front's part of a link by its load some seconds ago: room under the mark is shared by
+// all fronts alike, excess is given back in proportion to what each asks.
+func (f *Front) reckon(l *link, x, lag float64) {
+	own := l.asks(false)
+	if i := int(lag / tick); i > 0 {
+		own = l.past[min(i, len(l.past))-1]
+	}
+	p := own + (mark-x)*l.told/float64(f.fronts)
+	if x > mark {
+		p = own * mark / x
+	}
+	if l.parted == 0 {
+		l.part = p
+	} else {
+		// Reports are noisy; two count for most of it.
+		l.part += (p - l.part) * 0.6
+	}
+	l.parted = f.now
+}
+
+// Short takes a note of the share of the rate delivered at a server; 0.98 and more means that it is over.
+func (f *Front) Short(on ServerID, share float64) {
+	sv := f.server(on)
+	if sv == nil {
+		return
+	}
+	f.alive(sv)
+	sv.link.short, sv.link.noted = share, f.now
+	if share >= 0.98 {
+		return
+	}
+	// An uplink is short when all servers of the rack that hold sessions of this front are, two at least.
+	l, n, most := sv.link, 0, 0.0
+	for _, o := range f.servers {
+		if o.uplink == sv.uplink && len(o.link.sess) > 0 {
+			n++
+			if f.now-o.link.noted > 2.5 {
+				most = 1
+			} else {
+				most = max(most, o.link.short)
+			}
+		}
+	}
+	if n > 1 && most < 0.98 && share > most-0.03 {
+		l = sv.uplink
+		l.short, l.noted = share, f.now
+	}
+	l.lift, l.lifted = max(l.told/float64(f.fronts)/max(share, 0.1), l.lift*math.Exp((l.lifted-f.now)/5)), f.now
+	f.reckon(l, 1/max(share, 0.1), f.lag)
+}
+
+// Probed takes a probe's result.
+func (f *Front) Probed(on ServerID, o Outcome, rep Report) {
+	sv := f.server(on)
+	if sv == nil {
+		return
+	}
+	sv.probing = false
+	if o != Served {
+		f.setAside(sv)
+		return
+	}
+	f.alive(sv)
+	f.report(sv, rep, 0.25)
+	if sv.aside {
+		// Two in a row, so that one lucky answer doesn't bring it back.
+		if sv.good++; sv.good >= 2 {
+			sv.aside = false
+			// Guards against a server that came back cold before the directory says so.
+			if f.now-sv.born > f.warmUp {
+				sv.born = f.now
+			}
+		}
+	}
+}
+
+func (f *Front) alive(sv *server) {
+	if sv.heard > 0 && f.now > sv.heard {
+		sv.life.add(f.now - sv.heard)
+	}
+	sv.heard = f.now
+}
+
+func (f *Front) setAside(sv *server) {
+	sv.good = 0
+	if !sv.aside {
+		sv.aside, sv.probeAt = true, f.now+0.5
+	}
+}
+
+// tick is the pace at which playing sessions are looked at.
+const tick = 0.25
+
+// Due is called when the wake-up comes.
+func (f *Front) Due() {
+	if f.now+1e-6 < f.nextDue {
+		return
+	}
+	f.nextDue = 0
+	links := slices.Clone(f.uplinks)
+	for _, sv := range f.servers {
+		f.watch(sv)
+		f.lower(sv.link, sv)
+		links = append(links, sv.link)
+	}
+	f.look()
+	for _, l := range f.uplinks {
+		f.lower(l, nil)
+	}
+	for _, sv := range f.servers {
+		f.raise(sv)
+	}
+	for _, l := range links {
+		copy(l.past[1:], l.past[:])
+		l.past[0] = l.asks(false)
+	}
+}
+
+// watch probes a server whose silence is unusual given the gaps before, and now and then one set aside.
+func (f *Front) watch(sv *server) {
+	if !f.probes || sv.probing || sv.state != Ready {
+		return
+	}
+	if sv.aside {
+		if f.now >= sv.probeAt {
+			sv.probe, sv.probeAt = true, f.now+1
+		}
+		return
+	}
+	// Only where sessions make it speak. Chance leaves four spreads past the mean to one gap in some fifty.
+	if len(sv.link.sess) > 0 && f.every > 0 && sv.life.mean > 0 &&
+		f.now-sv.heard > max(sv.life.mean+4*sv.life.dev, f.every*1.5) {
+		sv.probe, sv.heard = true, f.now
+	}
+}
+
+// look spends the survey's probes on the server heard of longest ago, in the rack heard of longest ago.
+func (f *Front) look() {
+	for f.owed >= 1 {
+		f.owed--
+		var next *server
+		for _, sv := range f.servers {
+			if sv.state != Ready || sv.aside || sv.probing || sv.probe {
+				continue
+			}
+			if next == nil || sv.uplink.parted < next.uplink.parted ||
+				sv.uplink == next.uplink && sv.heard < next.heard {
+				next = sv
+			}
+		}
+		if next == nil {
+			return
+		}
+		next.probe = true
+		next.uplink.parted = max(next.uplink.parted, f.now-20)
+	}
+}
+
+// pick is the session on a link that weighs most, nil where none weighs more than 0.
+func (l *link) pick(weigh func(s *sess) float64) (best *sess) {
+	most := 0.0
+	for _, s := range l.sess {
+		if w := weigh(s); s.plays && s.wantRung == s.rung && w > most {
+			best, most = s, w
+		}
+	}
+	return best
+}
+
+// step changes a playing session's wanted rung by one.
+func (f *Front) step(s *sess, by int) {
+	s.wantRung += by
+	s.switched = f.now
+	f.touched = append(f.touched, s)
+}
+
+// lower steps playing sessions down while what they ask passes the target.
+func (f *Front) lower(l *link, sv *server) {
+	if f.now < l.down {
+		return
+	}
+	t := f.target(l, sv)
+	// A step costs less than a second of utility, a short link more for all: half of the sessions in a second.
+	for n := (len(l.sess) + 1) / 2; n > 0 && l.asks(false) > t*1.05; n-- {
+		s := l.pick(func(s *sess) float64 {
+			if s.wantRung <= s.group.Floor {
+				return 0
+			}
+			gain := (s.group.rates[s.wantRung] - s.group.rates[s.wantRung-1]) / s.group.Utility
+			if s.wantRung > f.rungFor(s, s.holder, 0) {
+				gain *= 4
+			}
+			return gain
+		})
+		if s == nil {
+			return
+		}
+		f.step(s, -1)
+		l.down, l.up = f.now+1, f.now+3
+	}
+}
+
+// raise steps one playing session of a server up when link and uplink have room.
+func (f *Front) raise(sv *server) {
+	if f.now < sv.link.up || f.now < sv.uplink.up || sv.state != Ready {
+		return
+	}
+	room := f.room(sv)
+	s := sv.link.pick(func(s *sess) float64 {
+		if s.wantRung >= s.best || s.ends > 0 && s.ends < f.now+3 || f.now-s.switched < 2 {
+			return 0
+		}
+		more := s.group.rates[s.wantRung+1] - s.group.rates[s.wantRung]
+		if more > room || f.rungFor(s, sv, 0) <= s.wantRung {
+			return 0
+		}
+		return s.group.Utility / more
+	})
+	if s != nil {
+		f.step(s, 1)
+		sv.link.up = f.now + 1
+	}
+}
+
+// room is what the tighter of a server's link and uplink has left under the target.
+func (f *Front) room(sv *server) float64 {
+	return min(f.target(sv.link, sv)-sv.link.asks(false), f.target(sv.uplink, sv)-sv.uplink.asks(false))
+}
+
+// wait is how long a SETUP may take: where it may be repeated, so that another fits within the start target.
+func (f *Front) wait(s *sess) float64 {
+	left := s.expires - f.now
+	if s.group.Paid || s.sent+1 >= f.most {
+		return left
+	}
+	target := s.asked + s.group.StartTarget - f.now
+	w := max(f.setups.mean+6*f.setups.dev, 0.25)
+	if target > 0 {
+		w = min(max(w, 0.4*s.group.StartTarget), max(target, 0.25))
+	}
+	return min(w, left)
+}
+
+// Settle emits the difference between the wanted state and the present one. Nothing else emits acts.
+func (f *Front) Settle() {
+	for _, s := range f.touched {
+		if s.answer == over {
+			continue
+		}
+		switch s.answer {
+		case busy:
+			f.acts.BusyReply(s.id, f.advice)
+		case tornDown:
+			f.acts.TearDown(s.id)
+		}
+		if s.answer != none {
+			s.answer = over
+			delete(f.sess, s.id)
+			continue
+		}
+		if s.wantRung != s.rung {
+			f.acts.Rung(s.id, s.wantRung)
+			s.rung = s.wantRung
+		}
+		if s.wantOut && !s.out {
+			f.acts.Setup(s.id, s.holder.id, f.wait(s))
+			s.out, s.wantOut = true, false
+			s.sent++
+		}
+	}
+	clear(f.touched)
+	f.touched = f.touched[:0]
+	for _, sv := range f.servers {
+		if sv.probe && f.probes && !sv.probing && sv.state == Ready {
+			f.acts.Probe(sv.id)
+			sv.probing = true
+		}
+		sv.probe = false
+	}
+	if f.nextDue == 0 {
+		f.nextDue = f.now + tick
+		f.acts.Wake(tick)
+	}
+}
--- /dev/null
+++ b/cmd/simhost/main.go
@@ -0,0 +1,116 @@
+// Command simhost hosts instances of the decision module on the simulator's wire.
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"rainhaven/choice"
+	"rainhaven/internal/wire"
+)
+
+func main() {
+	if err := serve(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "simhost:", err)
+		os.Exit(1)
+	}
+}
+
+// serve answers batches until the end of input.
+func serve(in io.Reader, out io.Writer) error {
+	r, w := wire.NewReader(in), wire.NewWriter(out)
+	h := host{fronts: map[string]*choice.Front{}, w: w}
+	for {
+		now, events, err := r.Batch()
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if err := h.batch(now, events); err != nil {
+			return err
+		}
+		if err := w.Done(); err != nil {
+			return err
+		}
+	}
+}
+
+// host holds the instances of this process, which share nothing.
+type host struct {
+	fronts map[string]*choice.Front // emptied as instances are stopped
+	w      *wire.Writer
+}
+
+// batch feeds the events in order, then settles each front concerned, in the order of first mention.
+func (h *host) batch(now float64, events []wire.Event) error {
+	var order []string
+	seen := map[string]bool{}
+	for i := range events {
+		e := &events[i]
+		if !seen[e.Front] {
+			seen[e.Front] = true
+			order = append(order, e.Front)
+		}
+		if h.fronts[e.Front] == nil && e.Kind != wire.Start && e.Kind != wire.Stop {
+			return fmt.Errorf("an event for %s, which was not started", e.Front)
+		}
+		h.guarded(e.Front, func() { h.feed(now, e) })
+	}
+	for _, name := range order {
+		if f := h.fronts[name]; f != nil {
+			h.guarded(name, f.Settle)
+		}
+	}
+	return nil
+}
+
+// guarded reports a panic of the module with the wire's own message.
+func (h *host) guarded(front string, do func()) {
+	defer func() {
+		if why := recover(); why != nil {
+			fmt.Fprintln(os.Stderr, "simhost:", front, why)
+			h.w.Broken(front, why)
+		}
+	}()
+	do()
+}
+
+func (h *host) feed(now float64, e *wire.Event) {
+	switch e.Kind {
+	case wire.Start:
+		h.fronts[e.Front] = choice.New(now, e.Figures, wire.Acts{Front: e.Front, To: h.w})
+		return
+	case wire.Stop:
+		delete(h.fronts, e.Front)
+		return
+	}
+	f := h.fronts[e.Front]
+	f.At(now)
+	switch e.Kind {
+	case wire.Directory:
+		f.Directory(e.Whole, e.List)
+	case wire.Ask:
+		f.Ask(e.Request)
+	case wire.Handed:
+		f.Handed(e.Request, e.Server)
+	case wire.Left:
+		f.Left(e.Request.ID)
+	case wire.Playing:
+		f.Playing(e.Request.ID, e.Server, e.Took)
+	case wire.Ended:
+		f.Ended(e.Request.ID, e.Server, e.Outcome, e.Final, e.Report)
+	case wire.Probed:
+		f.Probed(e.Server, e.Outcome, e.Report)
+	case wire.Due:
+		f.Due()
+	case wire.Short:
+		f.Short(e.Server, e.Value)
+	case wire.InForce:
+		f.InForce(e.Request.ID, int(e.Value))
+	case wire.Load, wire.UplinkLoad:
+		f.Load(e.Request.ID, e.Server, e.Value, e.Kind == wire.UplinkLoad)
+	}
+}
--- /dev/null
+++ b/internal/wire/start.go
@@ -0,0 +1,89 @@
+package wire
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"rainhaven/choice"
+)
+
+// start reads a front's first message. What a site leaves out stays at its zero, which switches it off.
+func start(rest string) (Event, error) {
+	f, err := fields(rest)
+	if err != nil {
+		return Event{}, err
+	}
+	g := &getter{f: f}
+	e := Event{Kind: Start, Front: g.text("i")}
+	s := &e.Figures
+	seed, err := strconv.ParseUint(f["salt"], 10, 64)
+	if err != nil {
+		g.fail(fmt.Errorf("salt=%q is not a whole number", f["salt"]))
+	}
+	s.Seed = seed
+	s.Me, s.Fronts, s.Zone = g.whole("me", false), g.whole("balancers", false), g.whole("zone", false)
+	fam := "family_info."
+	s.Cells, s.Racks = g.whole(fam+"cells", false), g.whole(fam+"cabinets", false)
+	s.LinkPerHeft, s.FleetLinks = g.optional(fam+"kb_per_weight"), g.optional(fam+"fleet_kb")
+	s.UplinkMean = g.optional(fam + "uplink_kb")
+	s.Ladder, s.RungUtility = g.numbers(fam+"level_kb"), g.numbers(fam+"worth_by_rung")
+	s.Places = g.numbers(fam + "places_by_kind")
+	s.NoteLag, s.NoteEvery = g.seconds(fam+"see", false), g.seconds(fam+"told_every", false)
+	s.SwitchCost, s.StallCost = g.optional(fam+"switch_cost_s"), g.optional(fam+"stall_cost")
+	s.MostSetups = g.whole("caps.most_tries", false)
+	if f["caps.retry_after"] == "true" || f["caps.retry_after"] == "1" {
+		s.Advice = g.seconds("caps.max_retry_after", false)
+	}
+	s.Probes = f["caps.probes"] == "true" || f["caps.probes"] == "1"
+	s.ProbePrice, s.MovePrice = g.optional("charges.probe"), g.optional("charges.moves")
+	s.CrossZonePrice = g.optional("charges.cross_zone")
+	switch f["reporting.source"] {
+	case "piggyback":
+		s.Reporting = choice.ReportsInAnswers
+	case "pull":
+		s.Reporting = choice.ReportsInProbes
+	}
+	s.WarmUp, s.ColdShare = g.seconds("rules.cold", false), g.optional("rules.start_capacity")
+	s.FallFactor, s.FallTime = g.optional("rules.overload_factor"), g.seconds("rules.fall", false)
+	s.SpareSetups, s.SetupShare = g.optional("rules.spare_attempts"), g.optional("rules.repeat_ratio")
+	s.SetupWindow = g.seconds("rules.counted_over", false)
+	scale, floor := g.numbers(fam+"class_scale"), g.numbers(fam+"class_floor")
+	top, seats := g.numbers(fam+"highest_rung"), g.numbers(fam+"seats")
+	for i := range g.whole("grades.count", false) {
+		at := fmt.Sprintf("grades.%d.", i)
+		s.Groups = append(s.Groups, choice.ServiceGroup{Utility: g.optional(at + "worth"), Scale: nth(scale, i, 1),
+			StartTarget: g.seconds(at+"goal_time", false), SetupTimeout: g.seconds(at+"hard_limit", false),
+			Paid: f[at+"effect"] != "pure", Floor: int(nth(floor, i, 0)),
+			Top: int(nth(top, i, float64(len(s.Ladder)-1))), Seats: int(nth(seats, i, 0))})
+	}
+	return e, g.err
+}
+
+func nth(list []float64, i int, otherwise float64) float64 {
+	if i < len(list) {
+		return list[i]
+	}
+	return otherwise
+}
+
+func (g *getter) optional(name string) float64 {
+	if g.f[name] == "" {
+		return 0
+	}
+	return g.number(name)
+}
+
+func (g *getter) numbers(name string) (list []float64) {
+	if g.f[name] == "" {
+		return nil
+	}
+	for _, v := range strings.Split(g.f[name], ",") {
+		x, err := strconv.ParseFloat(v, 64)
+		if err != nil {
+			g.fail(fmt.Errorf("%s: %q is not a number", name, v))
+		}
+		list = append(list, x)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,347 @@
+// Package wire reads and writes the simulator's dialect and puts it into the module's words.
+package wire
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+
+	"rainhaven/choice"
+)
+
+// Kind is what an event tells.
+type Kind int
+
+// The kinds of event. Ignored events concern a front but nothing that the module is told.
+const (
+	Ignored Kind = iota
+	Start
+	Stop
+	Directory
+	Ask
+	Handed
+	Left
+	Playing
+	Ended
+	Probed
+	Due
+	Short
+	InForce
+	Load
+	UplinkLoad
+)
+
+// Event is one thing that a front is told.
+type Event struct {
+	Front   string
+	Kind    Kind
+	Figures choice.StartFigures
+	Whole   bool
+	List    []choice.Listing
+	Request choice.Request
+	Server  choice.ServerID
+	Outcome choice.Outcome
+	Final   bool
+	Report  choice.Report
+	Took    float64
+	Value   float64
+}
+
+// Reader reads batches.
+type Reader struct {
+	in    *bufio.Reader
+	line  int
+	lists map[int64][]choice.Listing // by number, 16 at most; a new list replaces the old one
+}
+
+// NewReader reads from in.
+func NewReader(in io.Reader) *Reader {
+	return &Reader{in: bufio.NewReaderSize(in, 1<<20), lists: map[int64][]choice.Listing{}}
+}
+
+func (r *Reader) next() (word, rest string, err error) {
+	line, err := r.in.ReadString('\n')
+	if err == io.EOF && line != "" {
+		return "", "", fmt.Errorf("line %d: input ends within a line", r.line+1)
+	}
+	if err != nil {
+		return "", "", err
+	}
+	r.line++
+	word, rest, _ = strings.Cut(strings.TrimRight(line, "\r\n"), " ")
+	return word, rest, nil
+}
+
+// Batch reads one batch: the clock and the events. It returns io.EOF at the end of input.
+func (r *Reader) Batch() (now float64, events []Event, err error) {
+	word, rest, err := r.next()
+	if err != nil {
+		return 0, nil, err
+	}
+	if word != "ROUND" {
+		return 0, nil, fmt.Errorf("line %d: %q where ROUND is due", r.line, word)
+	}
+	f, err := fields(rest)
+	if err == nil {
+		now, err = f.seconds("now", true)
+	}
+	if err != nil {
+		return 0, nil, fmt.Errorf("line %d: %w", r.line, err)
+	}
+	for {
+		word, rest, err := r.next()
+		if err == io.EOF {
+			return 0, nil, fmt.Errorf("line %d: input ends within a batch", r.line)
+		}
+		if err != nil {
+			return 0, nil, err
+		}
+		if word == "OVER_TO_YOU" {
+			return now, events, nil
+		}
+		if word == "CATALOG" {
+			err = r.catalog(rest)
+		} else {
+			var e Event
+			if e, err = r.event(word, rest); err == nil {
+				events = append(events, e)
+			}
+		}
+		if err != nil {
+			return 0, nil, fmt.Errorf("line %d: %s: %w", r.line, word, err)
+		}
+	}
+}
+
+func (r *Reader) catalog(rest string) error {
+	f, err := fields(rest)
+	if err != nil {
+		return err
+	}
+	id, err := f.whole("set_id", true)
+	if err != nil {
+		return err
+	}
+	n, err := f.whole("rows", true)
+	if err != nil {
+		return err
+	}
+	if n < 0 {
+		return fmt.Errorf("rows=%d is below 0", n)
+	}
+	var list []choice.Listing
+	for range n {
+		word, rest, err := r.next()
+		if err != nil {
+			return fmt.Errorf("the list ends early: %w", err)
+		}
+		if word != "ITEM" {
+			return fmt.Errorf("%q where ITEM is due", word)
+		}
+		f, err := fields(rest)
+		if err != nil {
+			return err
+		}
+		g := getter{f: f}
+		e := choice.Listing{ID: g.server("server"), Zone: g.whole("dc", false), Kind: g.whole("class_of_host", false),
+			Cell: g.whole("cell", false), State: choice.Lifecycle(g.whole("lifecycle", true)), Heft: 1,
+			Born: g.seconds("born", false)}
+		if _, told := f["heft"]; told {
+			e.Heft = g.number("heft")
+		}
+		if e.State < choice.Gone || e.State > choice.Draining {
+			g.fail(fmt.Errorf("lifecycle=%d is unknown", e.State))
+		}
+		if e.Kind < 0 || e.Cell < 0 {
+			g.fail(fmt.Errorf("a kind or cell below 0"))
+		}
+		if g.err != nil {
+			return g.err
+		}
+		list = append(list, e)
+	}
+	r.lists[id] = list
+	return nil
+}
+
+func (r *Reader) event(word, rest string) (Event, error) {
+	if word == "SPAWN" {
+		return start(rest)
+	}
+	f, err := fields(rest)
+	if err != nil {
+		return Event{}, err
+	}
+	g := &getter{f: f}
+	e := Event{Front: g.text("i")}
+	switch word {
+	case "POWER_OFF":
+		e.Kind = Stop
+	case "MESSAGE":
+	case "TOPOLOGY":
+		mode := g.whole("mode", true)
+		if mode < 0 || mode > 3 {
+			g.fail(fmt.Errorf("mode=%d is unknown", mode))
+		}
+		if mode == 2 || g.err != nil {
+			break
+		}
+		id := g.whole("set_id", true)
+		list, known := r.lists[int64(id)]
+		if !known {
+			g.fail(fmt.Errorf("list %d was never sent", id))
+		}
+		e.Kind, e.Whole, e.List = Directory, mode != 3, list
+	case "ASK", "PREEXISTING":
+		e.Kind = Ask
+		e.Request = choice.Request{ID: choice.SessID(g.text("xid")), Group: g.whole("tier_class", false),
+			Title: g.f["programme"], StartCell: g.whole("start_cell", false), Span: g.whole("span", false),
+			BestRung: g.whole("best_rung", false), Expires: g.seconds("expires", word == "ASK"),
+			Length: g.seconds("work", false), Moved: g.f["was_moved"] == "1"}
+		if word == "PREEXISTING" {
+			e.Kind, e.Server = Handed, g.server("server")
+		}
+	case "ABORTED":
+		e.Kind, e.Request.ID = Left, choice.SessID(g.text("xid"))
+	case "BEGUN":
+		e.Kind, e.Request.ID = Playing, choice.SessID(g.text("xid"))
+		e.Server, e.Took = g.server("server"), g.seconds("elapsed", false)
+	case "RESOLVED", "CHECK_RESULT":
+		e.Kind = Probed
+		if word == "RESOLVED" {
+			e.Kind, e.Request.ID, e.Final = Ended, choice.SessID(g.text("xid")), g.f["final"] == "1"
+		}
+		e.Server, e.Took = g.server("server"), g.seconds("elapsed", false)
+		e.Outcome = choice.Outcome(g.whole("outcome", true))
+		if e.Outcome < choice.Served || e.Outcome > choice.Unsent {
+			g.fail(fmt.Errorf("outcome=%d is unknown", e.Outcome))
+		}
+		var err error
+		if e.Report, err = report(f["telemetry"]); err != nil {
+			g.fail(err)
+		}
+	case "PROGRESS":
+		e.Request.ID, e.Server, e.Value = choice.SessID(g.text("xid")), g.server("server"), g.number("value")
+		switch g.whole("sort", true) {
+		case 1:
+			e.Kind = Short
+		case 2:
+			e.Kind = InForce
+		case 3:
+			e.Kind = Load
+		case 4:
+			e.Kind = UplinkLoad
+		}
+	case "REMINDER":
+		e.Kind = Due
+	default:
+		return Event{}, fmt.Errorf("unknown message")
+	}
+	return e, g.err
+}
+
+func report(s string) (choice.Report, error) {
+	r := choice.Report{Link: -1, Uplink: -1}
+	if s == "" || s == "-" {
+		return r, nil
+	}
+	for _, pair := range strings.Split(s, ",") {
+		name, value, _ := strings.Cut(pair, ":")
+		x, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			return r, fmt.Errorf("telemetry: %q is not a name and a number", pair)
+		}
+		switch name {
+		case "cpu":
+			if r.Link < 0 {
+				r.Link, r.Capped = x, true
+			}
+		case "x0":
+			r.Link, r.Capped = x, false
+		case "x1":
+			r.Uplink = x
+		}
+	}
+	return r, nil
+}
+
+type fieldMap map[string]string
+
+func fields(rest string) (fieldMap, error) {
+	f := fieldMap{}
+	for _, p := range strings.Fields(rest) {
+		name, value, ok := strings.Cut(p, "=")
+		if !ok || name == "" {
+			return nil, fmt.Errorf("%q is not a name=value pair", p)
+		}
+		f[name] = value
+	}
+	return f, nil
+}
+
+func (f fieldMap) whole(name string, must bool) (int64, error) {
+	v, ok := f[name]
+	if !ok && !must {
+		return 0, nil
+	}
+	n, err := strconv.ParseInt(v, 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("%s=%q is not a whole number", name, v)
+	}
+	return n, nil
+}
+
+func (f fieldMap) seconds(name string, must bool) (float64, error) {
+	n, err := f.whole(name, must)
+	return float64(n) / 1e6, err
+}
+
+// getter takes values and keeps the first error.
+type getter struct {
+	f   fieldMap
+	err error
+}
+
+func (g *getter) fail(err error) {
+	if g.err == nil && err != nil {
+		g.err = err
+	}
+}
+
+func (g *getter) text(name string) string {
+	v := g.f[name]
+	if v == "" {
+		g.fail(fmt.Errorf("%s is missing", name))
+	}
+	return v
+}
+
+func (g *getter) whole(name string, must bool) int {
+	n, err := g.f.whole(name, must)
+	g.fail(err)
+	return int(n)
+}
+
+func (g *getter) seconds(name string, must bool) float64 {
+	n, err := g.f.seconds(name, must)
+	g.fail(err)
+	return n
+}
+
+func (g *getter) server(name string) choice.ServerID {
+	n, err := strconv.ParseUint(g.f[name], 10, 32)
+	if err != nil {
+		g.fail(fmt.Errorf("%s=%q is not a server", name, g.f[name]))
+	}
+	return choice.ServerID(n)
+}
+
+func (g *getter) number(name string) float64 {
+	x, err := strconv.ParseFloat(g.f[name], 64)
+	if err != nil {
+		g.fail(fmt.Errorf("%s=%q is not a number", name, g.f[name]))
+	}
+	return x
+}
