--- a/choice/choice.go
+++ b/choice/choice.go
@@ -379,7 +379,7 @@
 		}
 		_, a := f.pressure(sv.link, sv, s, 0)
 		_, u := f.pressure(sv.uplink, sv, s, 0)
-		if max(a, u) > 2 {
+		if max(a, u) > 2e9 {
 			continue
 		}
 		// Near ties fall by chance, so that fronts that see alike don't all choose alike.
