Past double, let in a session whose lowest rung still fits under the target

Cause: viewers who get a busy reply come back within 3 s, and the lowest rung earns more than its share. Busy replies past double stay the rule where nothing fits. Could harm where lowest rungs crowd a link that then runs short; the summed rates bound that.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -379,7 +379,9 @@
 		}
 		_, a := f.pressure(sv.link, sv, s, 0)
 		_, u := f.pressure(sv.uplink, sv, s, 0)
-		if max(a, u) > 2e9 {
+		// Past double new sessions are turned away, but for one whose lowest rung still fits under the target:
+		// here viewers don't wait, and a tenth of the rate earns a quarter of the utility.
+		if max(a, u) > 2 && f.room(sv) < s.group.rates[s.group.Floor] {
 			continue
 		}
 		// Near ties fall by chance, so that fronts that see alike don't all choose alike.
