Target mark 0.97 of the told size: links stood partly empty below it

Cause: rungs are coarse, so what sessions ask comes to rest below the target by itself; a low mark takes the same headroom twice. Also tried at 0.97, none kept alone: steps down at 1.0 to 1.2 times the target, weight of a reading 0.35 to 1, fading of the part 10 to 200 s, pauses of the switch pace.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -305,7 +305,7 @@
 }
 
 // mark is the target over the told size, below 1 for the spread of true rates about the ladder.
-const mark = 0.85
+const mark = 0.97
 
 // target is the bandwidth that this front may ask of a link: a mark below its part of the told size.
 func (f *Front) target(l *link, sv *server) float64 {
