Slower switch pace: fewer steps that are taken back

Cause: 4 to 6 points of every deployment went to rung switches, most undone within seconds by noisy readings. Down every 2 s once rates pass 1.1 times the target, up 6 s after that, a session 8 s after its last step.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -710,7 +710,7 @@
 	}
 	t := f.target(l, sv)
 	// A step costs less than a second of utility, a short link more for all: half of the sessions in a second.
-	for n := (len(l.sess) + 1) / 2; n > 0 && l.asks(false) > t*1.05; n-- {
+	for n := (len(l.sess) + 1) / 2; n > 0 && l.asks(false) > t*1.1; n-- {
 		s := l.pick(func(s *sess) float64 {
 			if s.wantRung <= s.group.Floor {
 				return 0
@@ -725,7 +725,7 @@
 			return
 		}
 		f.step(s, -1)
-		l.down, l.up = f.now+1, f.now+3
+		l.down, l.up = f.now+2, f.now+6
 	}
 }
 
@@ -736,7 +736,7 @@
 	}
 	room := f.room(sv)
 	s := sv.link.pick(func(s *sess) float64 {
-		if s.wantRung >= s.best || s.ends > 0 && s.ends < f.now+3 || f.now-s.switched < 2 {
+		if s.wantRung >= s.best || s.ends > 0 && s.ends < f.now+3 || f.now-s.switched < 8 {
 			return 0
 		}
 		more := s.group.rates[s.wantRung+1] - s.group.rates[s.wantRung]
