Cold-server slots hold for every window; rules tested by seeded random runs

Slots are longer, a restarted front leaves its first slot unused, and more SETUPs a slot are allowed as the server warms.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -34,7 +34,7 @@
 	slot, warmUp, coldest float64 // a cold server's slot; its warm-up and first share
 	survey                float64 // probes for each session taken; 0 is no survey
 	spare, share, window  float64 // the ration of further SETUPs
-	probes                bool
+	probes, half          bool    // probes are allowed; half of each slot stays shut
 
 	servers        []*server        // by id; emptied of those gone once no session is left there
 	uplinks        []*link          // by rack
@@ -82,7 +82,8 @@
 	good           int     // probes answered in a row while aside
 	probing, probe bool    // a probe is out, is wanted
 	probeAt        float64 // next probe while aside
-	full, slotted  float64 // full until; last SETUP while cold
+	full           float64 // full until
+	slot, used     float64 // the slot it last had a SETUP in while cold, and how many
 }
 
 // sess is a session from its request to its end.
@@ -153,14 +154,15 @@
 	if s.Probes && s.Reporting == ReportsInProbes {
 		f.survey = 0.4
 	}
-	// The least that any kind may be sent within the fall time. Half of it is kept for chance and for sessions
-	// whose set-up is more work than the mean.
+	// The least that any kind may be sent within the fall time, a quarter kept for set-ups of more than usual work.
 	budget := math.Inf(1)
 	for _, p := range s.Places {
 		budget = min(budget, s.FallFactor*p/max(s.WarmUp, 1e-3)*s.ColdShare*s.FallTime)
 	}
 	if budget > 0 && !math.IsInf(budget, 1) {
-		f.slot = s.FallTime / (budget / 2)
+		// A window touches one slot more than fit in it; where that leaves none, half of each slot stays shut.
+		f.slot = s.FallTime / max(math.Floor(budget*0.75)-1, 0.5)
+		f.half = budget*0.75 < 2
 	}
 	return f
 }
@@ -190,7 +192,9 @@
 		named[e.ID] = true
 		i, found := slices.BinarySearchFunc(f.servers, e.ID, byID)
 		if !found {
-			f.servers = slices.Insert(f.servers, i, &server{id: e.ID, link: &link{short: 1}})
+			// A front that was restarted may have used this slot before.
+			s := &server{id: e.ID, link: &link{short: 1}, slot: math.Floor(f.now / max(f.slot, 1e-3)), used: 99}
+			f.servers = slices.Insert(f.servers, i, s)
 		}
 		s := f.servers[i]
 		// Guards against a start that the directory tells late or without its instant: a server first named
@@ -399,9 +403,10 @@
 	}
 	s.wantRung, s.wantOut = r, true
 	f.join(s, best)
-	if f.warm(best) < 1 {
-		best.slotted = f.now
+	if slot := math.Floor(f.now / max(f.slot, 1e-3)); slot != best.slot {
+		best.slot, best.used = slot, 0
 	}
+	best.used++
 	if s.sent > 0 {
 		f.further = append(f.further, f.now)
 	}
@@ -419,14 +424,18 @@
 }
 
 // open tells whether a server may have a SETUP now as far as its warming goes. Against all fronts, some just
-// restarted, meeting on a cold server: time is cut in slots that fronts own in turn, one SETUP a slot.
-// It would fail if fronts' clocks differed by more than a slot.
+// restarted, meeting on a cold server: time is cut in slots that fronts own in turn, one SETUP a slot, and more
+// as it warms. It would fail if fronts' clocks differed by more than a slot.
 func (f *Front) open(sv *server) bool {
-	if f.warm(sv) == 1 || f.slot == 0 {
+	w := f.warm(sv)
+	if w == 1 || f.slot == 0 {
 		return true
 	}
 	slot := math.Floor(f.now / f.slot)
-	return int(math.Mod(slot, float64(f.fronts))) == f.me%f.fronts && sv.slotted < slot*f.slot
+	if int(math.Mod(slot, float64(f.fronts))) != f.me%f.fronts || f.half && f.now/f.slot-slot > 0.5 {
+		return false
+	}
+	return sv.slot != slot || sv.used < math.Floor(0.9*w/f.coldest)
 }
 
 // giveUp answers at once: busy where each SETUP provably never ran or may be repeated, else torn down.
@@ -540,10 +549,8 @@
 	}
 	if l.parted == 0 {
 		l.part = p
-	} else {
-		// Reports are noisy; two count for most of it.
-		l.part += (p - l.part) * 0.6
 	}
+	l.part += (p - l.part) * 0.6 // reports are noisy; two count for most of it
 	l.parted = f.now
 }
 
@@ -593,12 +600,9 @@
 	f.report(sv, rep, 0.25)
 	if sv.aside {
 		// Two in a row, so that one lucky answer doesn't bring it back.
+		// It may have come back cold before the directory says so.
 		if sv.good++; sv.good >= 2 {
-			sv.aside = false
-			// Guards against a server that came back cold before the directory says so.
-			if f.now-sv.born > f.warmUp {
-				sv.born = f.now
-			}
+			sv.aside, sv.born = false, max(sv.born, f.now)
 		}
 	}
 }
@@ -611,8 +615,7 @@
 }
 
 func (f *Front) setAside(sv *server) {
-	sv.good = 0
-	if !sv.aside {
+	if sv.good = 0; !sv.aside {
 		sv.aside, sv.probeAt = true, f.now+0.5
 	}
 }
--- /dev/null
+++ b/choice/choice_test.go
@@ -0,0 +1,138 @@
+package choice
+
+import (
+	"math/rand"
+	"testing"
+	"testing/quick"
+)
+
+// The rules hold after each step, whatever happens.
+func TestRules(t *testing.T) {
+	check := func(seed int64) bool {
+		w := newWorld(seed, 1+int(uint64(seed)%3))
+		for range 400 {
+			w.step()
+			if len(w.wrong) > 0 {
+				t.Logf("seed %d at %.3f: %v", seed, w.now, w.wrong)
+				return false
+			}
+		}
+		return true
+	}
+	if err := quick.Check(check, &quick.Config{MaxCount: 60, Rand: rand.New(rand.NewSource(1))}); err != nil {
+		t.Error(err)
+	}
+}
+
+func plain(group int) Request {
+	return Request{Group: group, Title: "t", Span: 3, BestRung: 3, Expires: 104}
+}
+
+// alone is one front on an idle fleet.
+func alone(change func(*StartFigures)) *mock {
+	w := newWorld(1, 1)
+	if change != nil {
+		change(&w.fig)
+		w.fronts[0].start(0)
+	}
+	return w.fronts[0]
+}
+
+func (m *mock) play(q *req) {
+	m.f.Settle()
+	q.out, q.plays = false, true
+	m.f.Playing(q.ID, q.on, 0.1)
+}
+
+func TestIdleFleetGivesTheTopRung(t *testing.T) {
+	m := alone(nil)
+	q := m.ask(plain(0))
+	if m.f.Settle(); !q.out || q.rung != 3 {
+		t.Errorf("out %v at rung %d", q.out, q.rung)
+	}
+}
+
+func TestCrowdedLinksScaleTheOthersFirst(t *testing.T) {
+	m := alone(func(s *StartFigures) { s.FleetLinks, s.Groups[0].Seats = 24000, 0 })
+	var last [2]*req
+	for range 4 {
+		for g := range last {
+			last[g] = m.ask(plain(g))
+			m.play(last[g])
+		}
+	}
+	if last[0].rung <= last[1].rung || last[1].rung == 3 {
+		t.Errorf("premium plays at rung %d, the other group at %d", last[0].rung, last[1].rung)
+	}
+}
+
+func TestPastDoubleOnlyWhatFitsIsLetIn(t *testing.T) {
+	m := alone(func(s *StartFigures) { s.FleetLinks = 6000 })
+	for range 30 {
+		q := m.ask(plain(1))
+		if m.f.Settle(); !q.done {
+			m.play(q)
+		}
+	}
+	if n := len(m.order) - m.busy; m.busy == 0 || n > 18 {
+		t.Errorf("%d busy replies, %d let in", m.busy, n)
+	}
+}
+
+func TestPlayingSessionsFollowDownAndUp(t *testing.T) {
+	m := alone(nil)
+	q := m.ask(plain(1))
+	m.play(q)
+	run := func(seconds, load float64) {
+		for range int(seconds * 4) {
+			m.w.now += 0.25
+			m.f.At(m.w.now)
+			m.f.Load(q.ID, q.on, load, false)
+			m.f.Due()
+			m.f.Settle()
+		}
+	}
+	if run(20, 2); q.rung > 1 {
+		t.Errorf("a link asked twice over leaves rung %d", q.rung)
+	}
+	if run(60, 0.1); q.rung != 3 {
+		t.Errorf("an idle link leaves rung %d", q.rung)
+	}
+}
+
+func TestSilentServerIsSetAsideUntilItAnswersProbes(t *testing.T) {
+	m := alone(nil)
+	q := m.ask(plain(1))
+	m.f.Settle()
+	bad := q.on
+	m.end(q, TimedOut, false)
+	for range 12 {
+		p := m.ask(plain(1))
+		if m.f.Settle(); p.on == bad {
+			t.Fatal("a SETUP went to the silent server")
+		}
+	}
+	for range 20 {
+		m.w.now += 0.25
+		m.f.At(m.w.now)
+		m.f.Due()
+		m.f.Settle()
+		for _, s := range m.probes {
+			m.f.Probed(s, Served, Report{Link: -1, Uplink: -1})
+		}
+		m.probes = nil
+	}
+	if m.f.server(bad).aside {
+		t.Error("it answered probes and is still set aside")
+	}
+}
+
+func TestPaidSessionThatMayHaveRunIsTornDown(t *testing.T) {
+	m := alone(nil)
+	q := m.ask(plain(0))
+	m.f.Settle()
+	m.end(q, TimedOut, false)
+	if m.f.Settle(); m.torn != 1 || q.sent != 1 {
+		t.Errorf("torn down %d times after %d SETUPs", m.torn, q.sent)
+	}
+}
