Lay short-delivery notes to link or uplink by the uplink's newest report

Told from a link by the report x1 of the rack, and without one by all servers of the rack being short.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -67,6 +67,7 @@
 	part, parted float64    // this front's part of the capacity, and when; 0 is never
 	past         [8]float64 // rung rates asked at the last ticks, newest first
 	short, noted float64    // share delivered, 1 when not short, and when
+	load, seen   float64    // what was reported last, and when
 	down, up     float64    // no step before
 }
 
@@ -524,14 +525,19 @@
 	if s := f.sess[id]; s != nil && s.switched == f.now {
 		lag = 0 // a note that comes with a set-up tells the present
 	}
+	l.load, l.seen = x, f.now
 	f.reckon(l, x, lag)
 }
 
 func (f *Front) report(sv *server, r Report, lag float64) {
-	if r.Link >= 0 && (!r.Capped || r.Link < 0.999) {
-		f.reckon(sv.link, r.Link, lag)
+	if r.Link >= 0 {
+		sv.link.load, sv.link.seen = r.Link, f.now
+		if !r.Capped || r.Link < 0.999 {
+			f.reckon(sv.link, r.Link, lag)
+		}
 	}
 	if r.Uplink >= 0 {
+		sv.uplink.load, sv.uplink.seen = r.Uplink, f.now
 		f.reckon(sv.uplink, r.Uplink, lag)
 	}
 }
@@ -565,7 +571,8 @@
 	if share >= 0.98 {
 		return
 	}
-	// An uplink is short when all servers of the rack that hold sessions of this front are, two at least.
+	// Which of the two is short, the notes don't say. The newest reports do; without them an uplink is when all
+	// servers of its rack that hold sessions of this front are, two at least.
 	l, n, most := sv.link, 0, 0.0
 	for _, o := range f.servers {
 		if o.uplink == sv.uplink && len(o.link.sess) > 0 {
@@ -577,7 +584,8 @@
 			}
 		}
 	}
-	if n > 1 && most < 0.98 && share > most-0.03 {
+	up := f.now-sv.uplink.seen < 5
+	if up && sv.uplink.load > max(1, sv.link.load) || !up && n > 1 && most < 0.98 && share > most-0.03 {
 		l = sv.uplink
 		l.short, l.noted = share, f.now
 	}
@@ -675,8 +683,8 @@
 			if sv.state != Ready || sv.aside || sv.probing || sv.probe {
 				continue
 			}
-			if next == nil || sv.uplink.parted < next.uplink.parted ||
-				sv.uplink == next.uplink && sv.heard < next.heard {
+			if next == nil || sv.uplink.seen < next.uplink.seen ||
+				sv.uplink == next.uplink && sv.link.seen < next.link.seen {
 				next = sv
 			}
 		}
@@ -684,7 +692,7 @@
 			return
 		}
 		next.probe = true
-		next.uplink.parted = max(next.uplink.parted, f.now-20)
+		next.uplink.seen = max(next.uplink.seen, f.now-20)
 	}
 }
 
