--- a/choice/choice.go
+++ b/choice/choice.go
@@ -66,7 +66,6 @@
 	lift, lifted float64    // what short-delivery notes lift demand to, and when
 	part, parted float64    // this front's part of the capacity, and when; 0 is never
 	past         [8]float64 // rung rates asked at the last ticks, newest first
-	short, noted float64    // share delivered, 1 when not short, and when
 	load, seen   float64    // what was reported last, and when
 	down, up     float64    // no step before
 }
@@ -149,7 +148,7 @@
 		}
 	}
 	for range f.racks {
-		f.uplinks = append(f.uplinks, &link{told: s.UplinkMean, short: 1})
+		f.uplinks = append(f.uplinks, &link{told: s.UplinkMean})
 	}
 	// Where load is told to probes only, two sessions in five earn a probe: well under a point of service.
 	if s.Probes && s.Reporting == ReportsInProbes {
@@ -194,7 +193,7 @@
 		i, found := slices.BinarySearchFunc(f.servers, e.ID, byID)
 		if !found {
 			// A front that was restarted may have used this slot before.
-			s := &server{id: e.ID, link: &link{short: 1}, slot: math.Floor(f.now / max(f.slot, 1e-3)), used: 99}
+			s := &server{id: e.ID, link: &link{}, slot: math.Floor(f.now / max(f.slot, 1e-3)), used: 99}
 			f.servers = slices.Insert(f.servers, i, s)
 		}
 		s := f.servers[i]
@@ -567,27 +566,13 @@
 		return
 	}
 	f.alive(sv)
-	sv.link.short, sv.link.noted = share, f.now
 	if share >= 0.98 {
 		return
 	}
-	// Which of the two is short, the notes don't say. The newest reports do; without them an uplink is when all
-	// servers of its rack that hold sessions of this front are, two at least.
-	l, n, most := sv.link, 0, 0.0
-	for _, o := range f.servers {
-		if o.uplink == sv.uplink && len(o.link.sess) > 0 {
-			n++
-			if f.now-o.link.noted > 2.5 {
-				most = 1
-			} else {
-				most = max(most, o.link.short)
-			}
-		}
-	}
-	up := f.now-sv.uplink.seen < 5
-	if up && sv.uplink.load > max(1, sv.link.load) || !up && n > 1 && most < 0.98 && share > most-0.03 {
+	// Which of the two is short, the notes don't say: the link, unless the uplink's newest report says otherwise.
+	l := sv.link
+	if f.now-sv.uplink.seen < 5 && sv.uplink.load > max(1, l.load) {
 		l = sv.uplink
-		l.short, l.noted = share, f.now
 	}
 	l.lift, l.lifted = max(l.told/float64(f.fronts)/max(share, 0.1), l.lift*math.Exp((l.lifted-f.now)/5)), f.now
 	f.reckon(l, 1/max(share, 0.1), f.lag)
