--- a/choice/choice.go
+++ b/choice/choice.go
@@ -548,7 +548,8 @@
 	if i := int(lag / tick); i > 0 {
 		own = l.past[min(i, len(l.past))-1]
 	}
-	p := own + (mark-x)*l.told/float64(f.fronts)
+	// Not all fronts want a link's room at once: by the power 0.75 of their number, tried from 0 to 1.
+	p := own + (mark-x)*l.told*math.Pow(float64(f.fronts), -0.75)
 	if x > mark {
 		p = own * mark / x
 	}
