Probe a server set aside the sparser the longer it lasts

Half a second at first, a third of the time aside later, 4 s at most. Could harm where servers come back after long silence: up to 4 s late.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -81,7 +81,7 @@
 	aside          bool    // gets no sessions until it answers probes
 	good           int     // probes answered in a row while aside
 	probing, probe bool    // a probe is out, is wanted
-	probeAt        float64 // next probe while aside
+	left, probeAt  float64 // set aside when; next probe while aside
 	full           float64 // full until
 	slot, used     float64 // the slot it last had a SETUP in while cold, and how many
 }
@@ -610,7 +610,7 @@
 
 func (f *Front) setAside(sv *server) {
 	if sv.good = 0; !sv.aside {
-		sv.aside, sv.probeAt = true, f.now+0.5
+		sv.aside, sv.left, sv.probeAt = true, f.now, f.now
 	}
 }
 
@@ -648,8 +648,9 @@
 		return
 	}
 	if sv.aside {
+		// Sparser the longer it lasts, as probes have a price; 4 s is what a return may be missed by.
 		if f.now >= sv.probeAt {
-			sv.probe, sv.probeAt = true, f.now+1
+			sv.probe, sv.probeAt = true, f.now+max(0.5, min(4, (f.now-sv.left)/3))
 		}
 		return
 	}
