A reset or a share delivered under 0.3 sets a server aside at once

Cause: after a hang begins, sessions hear 0.65, 0.12 and a reset within 3 s while SETUPs still went there until one timed out. Told from crowding by a share next to nothing. Could harm where a link is crowded to under 0.3: the server then gets nothing new until two probes are answered.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -463,10 +463,8 @@
 		case Served, ServerError, Full:
 			f.alive(sv)
 			f.report(sv, rep, 0)
-		case TimedOut, NoConnection:
+		case TimedOut, NoConnection, Reset:
 			f.setAside(sv)
-		case Reset:
-			sv.probe = true
 		}
 		if o == Full && sv.state == Ready {
 			// It says that its link is full; a second is about how long a report takes to change.
@@ -570,6 +568,11 @@
 	if share >= 0.98 {
 		return
 	}
+	// Sessions that get next to nothing are on a server that hangs, not on a crowded link.
+	if share < 0.3 {
+		f.setAside(sv)
+		return
+	}
 	// Which of the two is short, the notes don't say: the link, unless the uplink's newest report says otherwise.
 	l := sv.link
 	if f.now-sv.uplink.seen < 5 && sv.uplink.load > max(1, l.load) {
