--- a/choice/choice.go
+++ b/choice/choice.go
@@ -32,7 +32,7 @@
 	fleet, perPlace       float64 // all links together; link for each place, 0 before the first list
 	lag, every, advice    float64 // of notes, between load notes, on coming back
 	slot, warmUp, coldest float64 // a cold server's slot; its warm-up and first share
-	survey                float64 // probes for each session taken; 0 is no survey
+	survey, near          float64 // probes for each session taken; what a holder in the own zone is ahead by
 	spare, share, window  float64 // the ration of further SETUPs
 	probes, half          bool    // probes are allowed; half of each slot stays shut
 
@@ -150,6 +150,10 @@
 	for range f.racks {
 		f.uplinks = append(f.uplinks, &link{told: s.UplinkMean})
 	}
+	// Where crossing zones has a price, a tenth of a session settles near ties; more costs room than it saves.
+	if s.CrossZonePrice > 0 {
+		f.near = 0.1
+	}
 	// Where load is told to probes only, two sessions in five earn a probe: well under a point of service.
 	if s.Probes && s.Reporting == ReportsInProbes {
 		f.survey = 0.4
@@ -389,7 +393,11 @@
 			continue
 		}
 		// Near ties fall by chance, so that fronts that see alike don't all choose alike.
-		if r := f.room(sv) + top*0.02*f.chance(); r > room {
+		r := f.room(sv) + top*0.02*f.chance()
+		if sv.zone == f.zone {
+			r += top * f.near
+		}
+		if r > room {
 			best, room = sv, r
 		}
 	}
