--- a/choice/choice.go
+++ b/choice/choice.go
@@ -66,7 +66,7 @@
 	lift, lifted float64    // what short-delivery notes lift demand to, and when
 	part, parted float64    // this front's part of the capacity, and when; 0 is never
 	past         [8]float64 // rung rates asked at the last ticks, newest first
-	load, seen   float64    // what was reported last, and when
+	load, seen   float64    // what a server last said, and when
 	down, up     float64    // no step before
 }
 
@@ -106,12 +106,7 @@
 
 type answer int
 
-const (
-	none answer = iota
-	busy
-	tornDown
-	over
-)
+const none, busy, tornDown, over answer = 0, 1, 2, 3
 
 // gaps keeps the mean and the spread of a kind of gap.
 type gaps struct{ mean, dev float64 }
@@ -225,10 +220,10 @@
 
 // Ask takes a request.
 func (f *Front) Ask(r Request) {
-	s := f.admit(r)
 	f.taken = append(f.taken, f.now)
+	f.ration()
 	f.owed += f.survey
-	f.place(s)
+	f.place(f.admit(r))
 }
 
 // Handed takes over a session that plays already.
@@ -423,12 +418,9 @@
 // ration tells whether a further SETUP stays within the sliding budget. Requests count for a little less than
 // the window and further SETUPs for a little more, so that no rounding of instants breaks it.
 func (f *Front) ration() bool {
-	if f.window <= 0 {
-		return true
-	}
 	f.taken = slices.DeleteFunc(f.taken, func(t float64) bool { return f.now-t >= f.window*0.98 })
 	f.further = slices.DeleteFunc(f.further, func(t float64) bool { return f.now-t > f.window*1.02 })
-	return float64(len(f.further)+1) <= f.spare+f.share*float64(len(f.taken))
+	return f.window <= 0 || float64(len(f.further)+1) <= f.spare+f.share*float64(len(f.taken))
 }
 
 // open tells whether a server may have a SETUP now as far as its warming goes. Against all fronts, some just
@@ -455,7 +447,7 @@
 }
 
 // Playing tells that a session's set-up is done.
-func (f *Front) Playing(id SessID, _ ServerID, took float64) {
+func (f *Front) Playing(id SessID, took float64) {
 	if s := f.sess[id]; s != nil && s.holder != nil {
 		s.plays, s.switched = true, f.now
 		f.setups.add(took)
@@ -475,7 +467,7 @@
 			f.setAside(sv)
 		}
 		if o == Full && sv.state == Ready {
-			// It says that its link is full; a second is about how long a report takes to change.
+			// A second is about how long a report takes to change.
 			sv.full = f.now + 1
 		}
 	}
@@ -530,23 +522,24 @@
 	if s := f.sess[id]; s != nil && s.switched == f.now {
 		lag = 0 // a note that comes with a set-up tells the present
 	}
-	l.load, l.seen = x, f.now
-	f.reckon(l, x, lag)
+	f.hear(l, x, lag)
 }
 
 func (f *Front) report(sv *server, r Report, lag float64) {
-	if r.Link >= 0 {
-		sv.link.load, sv.link.seen = r.Link, f.now
-		if !r.Capped || r.Link < 0.999 {
-			f.reckon(sv.link, r.Link, lag)
-		}
+	if r.Link >= 0 && (!r.Capped || r.Link < 0.999) {
+		f.hear(sv.link, r.Link, lag)
 	}
 	if r.Uplink >= 0 {
-		sv.uplink.load, sv.uplink.seen = r.Uplink, f.now
-		f.reckon(sv.uplink, r.Uplink, lag)
+		f.hear(sv.uplink, r.Uplink, lag)
 	}
 }
 
+// hear takes a server's word on a link's load.
+func (f *Front) hear(l *link, x, lag float64) {
+	l.load, l.seen = x, f.now
+	f.reckon(l, x, lag)
+}
+
 // reckon corrects this front's part of a link by its load some seconds ago: room under the mark is shared by
 // all fronts alike, excess is given back in proportion to what each asks.
 func (f *Front) reckon(l *link, x, lag float64) {
@@ -583,7 +576,7 @@
 	}
 	// Which of the two is short, the notes don't say: the link, unless the uplink's newest report says otherwise.
 	l := sv.link
-	if f.now-sv.uplink.seen < 5 && sv.uplink.load > max(1, l.load) {
+	if f.now-sv.uplink.seen < 5 && sv.uplink.load > 1 {
 		l = sv.uplink
 	}
 	l.lift, l.lifted = max(l.told/float64(f.fronts)/max(share, 0.1), l.lift*math.Exp((l.lifted-f.now)/5)), f.now
@@ -705,7 +698,7 @@
 	return best
 }
 
-// step changes a playing session's wanted rung by one.
+// step changes a playing session's wanted rung.
 func (f *Front) step(s *sess, by int) {
 	s.wantRung += by
 	s.switched = f.now
@@ -718,7 +711,8 @@
 		return
 	}
 	t := f.target(l, sv)
-	// A step costs less than a second of utility, a short link more for all: half of the sessions in a second.
+	// The switch pace: half of the sessions every 2 s, then no step up for 6 s. Slower lets a short link cost
+	// all of its sessions, faster takes back what noisy readings ask for; tried from 0.5 to 3 s and 1 to 10 s.
 	for n := (len(l.sess) + 1) / 2; n > 0 && l.asks(false) > t*1.1; n-- {
 		s := l.pick(func(s *sess) float64 {
 			if s.wantRung <= s.group.Floor {
@@ -785,13 +779,12 @@
 		if s.answer == over {
 			continue
 		}
-		switch s.answer {
-		case busy:
-			f.acts.BusyReply(s.id, f.advice)
-		case tornDown:
-			f.acts.TearDown(s.id)
-		}
 		if s.answer != none {
+			if s.answer == busy {
+				f.acts.BusyReply(s.id, f.advice)
+			} else {
+				f.acts.TearDown(s.id)
+			}
 			s.answer = over
 			delete(f.sess, s.id)
 			continue
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -41,7 +41,7 @@
 func (m *mock) play(q *req) {
 	m.f.Settle()
 	q.out, q.plays = false, true
-	m.f.Playing(q.ID, q.on, 0.1)
+	m.f.Playing(q.ID, 0.1)
 }
 
 func TestIdleFleetGivesTheTopRung(t *testing.T) {
