--- a/choice/choice.go
+++ b/choice/choice.go
@@ -43,6 +43,7 @@
 	touched        []*sess          // wanted state may differ from the present; emptied by Settle
 	taken, further []float64        // requests and further SETUPs, when; emptied past the ration's window
 	nextDue, owed  float64          // the wake-up that is set; survey probes earned and not sent
+	first          float64          // when the survey begins
 	setups         gaps             // how long SETUPs take to be answered
 }
 
@@ -127,7 +128,7 @@
 		cells: max(s.Cells, 1), racks: max(s.Racks, 1), fronts: max(s.Fronts, 1), me: s.Me, zone: s.Zone,
 		most: max(s.MostSetups, 1), lag: s.NoteLag, every: s.NoteEvery, advice: s.Advice, warmUp: s.WarmUp,
 		coldest: s.ColdShare, probes: s.Probes, spare: s.SpareSetups, share: s.SetupShare,
-		window: s.SetupWindow, sess: map[SessID]*sess{}, seats: map[seat]int{}}
+		first: now + 1.2, window: s.SetupWindow, sess: map[SessID]*sess{}, seats: map[seat]int{}}
 	lowest := math.Inf(1)
 	for _, g := range s.Groups {
 		lowest = min(lowest, g.Utility)
@@ -153,7 +154,7 @@
 	if s.Probes && s.Reporting == ReportsInProbes {
 		f.survey = 0.4
 	}
-	// The least that any kind may be sent within the fall time, a quarter kept for set-ups of more than usual work.
+	// The least that any kind may be sent within the fall time, a quarter kept for set-ups of more work.
 	budget := math.Inf(1)
 	for _, p := range s.Places {
 		budget = min(budget, s.FallFactor*p/max(s.WarmUp, 1e-3)*s.ColdShare*s.FallTime)
@@ -424,7 +425,7 @@
 }
 
 // open tells whether a server may have a SETUP now as far as its warming goes. Against all fronts, some just
-// restarted, meeting on a cold server: time is cut in slots that fronts own in turn, one SETUP a slot, and more
+// restarted, meeting on a cold server: time is cut in slots that fronts own in turn, one SETUP a slot, more
 // as it warms. It would fail if fronts' clocks differed by more than a slot.
 func (f *Front) open(sv *server) bool {
 	w := f.warm(sv)
@@ -491,13 +492,11 @@
 
 // Left tells that the viewer gave up or that the request is over.
 func (f *Front) Left(id SessID) {
-	s := f.sess[id]
-	if s == nil {
-		return
-	}
-	if s.answer, s.wantOut = over, false; !s.out {
-		f.leave(s)
-		delete(f.sess, id)
+	if s := f.sess[id]; s != nil {
+		if s.answer, s.wantOut = over, false; !s.out {
+			f.leave(s)
+			delete(f.sess, id)
+		}
 	}
 }
 
@@ -526,7 +525,8 @@
 }
 
 func (f *Front) report(sv *server, r Report, lag float64) {
-	if r.Link >= 0 && (!r.Capped || r.Link < 0.999) {
+	// A capped figure near its cap may, with its noise, stand for any excess.
+	if r.Link >= 0 && (!r.Capped || r.Link < 0.9) {
 		f.hear(sv.link, r.Link, lag)
 	}
 	if r.Uplink >= 0 {
@@ -562,19 +562,16 @@
 // Short takes a note of the share of the rate delivered at a server; 0.98 and more means that it is over.
 func (f *Front) Short(on ServerID, share float64) {
 	sv := f.server(on)
-	if sv == nil {
+	if sv == nil || share >= 0.98 {
 		return
 	}
 	f.alive(sv)
-	if share >= 0.98 {
-		return
-	}
 	// Sessions that get next to nothing are on a server that hangs, not on a crowded link.
 	if share < 0.3 {
 		f.setAside(sv)
 		return
 	}
-	// Which of the two is short, the notes don't say: the link, unless the uplink's newest report says otherwise.
+	// Which of the two is short, notes don't say: the link, unless the uplink's newest report says otherwise.
 	l := sv.link
 	if f.now-sv.uplink.seen < 5 && sv.uplink.load > 1 {
 		l = sv.uplink
@@ -667,6 +664,13 @@
 
 // look spends the survey's probes on the server heard of longest ago, in the rack heard of longest ago.
 func (f *Front) look() {
+	// At first each server with sessions handed over, once reports tell of the time since the start.
+	if f.survey > 0 && f.now > f.first {
+		f.first = math.Inf(1)
+		for _, sv := range f.servers {
+			sv.probe = sv.probe || len(sv.link.sess) > 0
+		}
+	}
 	for f.owed >= 1 {
 		f.owed--
 		var next *server
@@ -710,10 +714,9 @@
 	if f.now < l.down {
 		return
 	}
-	t := f.target(l, sv)
 	// The switch pace: half of the sessions every 2 s, then no step up for 6 s. Slower lets a short link cost
 	// all of its sessions, faster takes back what noisy readings ask for; tried from 0.5 to 3 s and 1 to 10 s.
-	for n := (len(l.sess) + 1) / 2; n > 0 && l.asks(false) > t*1.1; n-- {
+	for n := (len(l.sess) + 1) / 2; n > 0 && l.asks(false) > f.target(l, sv)*1.1; n-- {
 		s := l.pick(func(s *sess) float64 {
 			if s.wantRung <= s.group.Floor {
 				return 0
