--- a/choice/choice.go
+++ b/choice/choice.go
@@ -44,7 +44,6 @@
 	taken, further []float64        // requests and further SETUPs, when; emptied past the ration's window
 	nextDue, owed  float64          // the wake-up that is set; survey probes earned and not sent
 	first          float64          // when the survey begins
-	setups         gaps             // how long SETUPs take to be answered
 }
 
 type group struct {
@@ -68,6 +67,7 @@
 	part, parted float64    // this front's part of the capacity, and when; 0 is never
 	past         [8]float64 // rung rates asked at the last ticks, newest first
 	load, seen   float64    // what a server last said, and when
+	share, noted float64    // delivered when it was last noted short, and when
 	down, up     float64    // no step before
 }
 
@@ -448,10 +448,9 @@
 }
 
 // Playing tells that a session's set-up is done.
-func (f *Front) Playing(id SessID, took float64) {
+func (f *Front) Playing(id SessID) {
 	if s := f.sess[id]; s != nil && s.holder != nil {
 		s.plays, s.switched = true, f.now
-		f.setups.add(took)
 		f.alive(s.holder)
 	}
 }
@@ -571,9 +570,16 @@
 		f.setAside(sv)
 		return
 	}
-	// Which of the two is short, notes don't say: the link, unless the uplink's newest report says otherwise.
-	l := sv.link
-	if f.now-sv.uplink.seen < 5 && sv.uplink.load > 1 {
+	// Which of the two is short, notes don't say: the link, unless the uplink's newest report says otherwise or,
+	// without one, two servers beside it tell the same share (one alone may hang as this one does).
+	l, like := sv.link, 0
+	l.share, l.noted = share, f.now
+	for _, o := range f.servers {
+		if o != sv && o.uplink == sv.uplink && f.now-o.link.noted < 1.5 && math.Abs(o.link.share-share) < 0.05 {
+			like++
+		}
+	}
+	if fresh := f.now-sv.uplink.seen < 5; fresh && sv.uplink.load > 1 || !fresh && like > 1 && l.load < 0.95 {
 		l = sv.uplink
 	}
 	l.lift, l.lifted = max(l.told/float64(f.fronts)/max(share, 0.1), l.lift*math.Exp((l.lifted-f.now)/5)), f.now
@@ -764,16 +770,10 @@
 
 // wait is how long a SETUP may take: where it may be repeated, so that another fits within the start target.
 func (f *Front) wait(s *sess) float64 {
-	left := s.expires - f.now
 	if s.group.Paid || s.sent+1 >= f.most {
-		return left
-	}
-	target := s.asked + s.group.StartTarget - f.now
-	w := max(f.setups.mean+6*f.setups.dev, 0.25)
-	if target > 0 {
-		w = min(max(w, 0.4*s.group.StartTarget), max(target, 0.25))
+		return s.expires - f.now
 	}
-	return min(w, left)
+	return min(s.expires-f.now, 0.4*s.group.StartTarget)
 }
 
 // Settle emits the difference between the wanted state and the present one. Nothing else emits acts.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -41,7 +41,7 @@
 func (m *mock) play(q *req) {
 	m.f.Settle()
 	q.out, q.plays = false, true
-	m.f.Playing(q.ID, 0.1)
+	m.f.Playing(q.ID)
 }
 
 func TestIdleFleetGivesTheTopRung(t *testing.T) {
@@ -136,3 +136,38 @@
 		t.Errorf("torn down %d times after %d SETUPs", m.torn, q.sent)
 	}
 }
+
+// Three servers of a rack that deliver the same share on idle links have a short uplink; one alone does not.
+func TestShareOfAWholeRackIsLaidToItsUplink(t *testing.T) {
+	for n, want := range map[int]bool{1: false, 3: true} {
+		m := alone(nil)
+		for i := range n {
+			m.f.Short(ServerID(10+2*i), 0.6)
+		}
+		if got := m.f.uplinks[0].parted > 0; got != want {
+			t.Errorf("%d servers short: laid to the uplink %v", n, got)
+		}
+	}
+}
+
+func TestNextToNothingDeliveredSetsAside(t *testing.T) {
+	m := alone(nil)
+	m.f.Short(10, 0.1)
+	if s := m.f.server(10); !s.aside || s.link.parted > 0 {
+		t.Error("a server that hangs is taken for a crowded link")
+	}
+}
+
+func TestTablesAreEmptied(t *testing.T) {
+	m := alone(nil)
+	for range 200 {
+		m.w.now += 1
+		q := m.ask(plain(1))
+		m.play(q)
+		m.end(q, Served, true)
+		m.f.Settle()
+	}
+	if n := len(m.f.taken) + len(m.f.sess) + len(m.f.seats) + len(m.f.further) + len(m.f.touched); n > 12 {
+		t.Errorf("%d entries are left in the tables", n)
+	}
+}
--- a/choice/world_test.go
+++ b/choice/world_test.go
@@ -258,7 +258,7 @@
 			return
 		}
 		q.out, q.plays, q.ends = false, true, w.now+w.rand.Float64()*20
-		m.f.Playing(q.ID, 0.1)
+		m.f.Playing(q.ID)
 	case q.out && w.rand.Intn(60) == 0:
 		q.done = true
 		m.f.Left(q.ID)
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -99,7 +99,7 @@
 	case wire.Left:
 		f.Left(e.Request.ID)
 	case wire.Playing:
-		f.Playing(e.Request.ID, e.Took)
+		f.Playing(e.Request.ID)
 	case wire.Ended:
 		f.Ended(e.Request.ID, e.Server, e.Outcome, e.Final, e.Report)
 	case wire.Probed:
