--- a/choice/choice.go
+++ b/choice/choice.go
@@ -203,7 +203,7 @@
 			s.born = f.now
 		}
 		if e.Born > s.born {
-			s.born, s.aside, s.heard = e.Born, false, 0
+			s.born, s.aside, s.heard, s.link.parted = e.Born, false, 0, 0
 		}
 		s.zone, s.cell, s.state = e.Zone, e.Cell, e.State
 		s.link.told = f.perPlace * f.places[e.Kind]
@@ -314,14 +314,14 @@
 // target is the bandwidth that this front may ask of a link: a mark below its part of the told size.
 func (f *Front) target(l *link, sv *server) float64 {
 	t := l.told * mark / float64(f.fronts)
+	if sv != nil && l == sv.link {
+		t *= f.warm(sv)
+	}
 	if l.parted > 0 {
 		// What was seen fades into what is told: sessions turn over within some 30 s.
 		w := math.Exp((l.parted - f.now) / 30)
 		t = w*l.part + (1-w)*t
 	}
-	if sv != nil && l == sv.link {
-		t *= f.warm(sv)
-	}
 	return t
 }
 
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -171,3 +171,16 @@
 		t.Errorf("%d entries are left in the tables", n)
 	}
 }
+
+func TestWarmingScalesWhatIsToldOnly(t *testing.T) {
+	m := alone(nil)
+	s := m.f.server(10)
+	s.born = m.w.now
+	if told := m.f.target(s.link, s); told > 0.5*s.link.told {
+		t.Errorf("target %.0f of a cold link told as %.0f", told, s.link.told)
+	}
+	s.link.part, s.link.parted = 9000, m.w.now
+	if seen := m.f.target(s.link, s); seen < 8999 {
+		t.Errorf("target %.0f where 9000 were seen", seen)
+	}
+}
