In a crush premium groups lead an equal cut by 1.3 at most

Premium still goes first against the whole target; once all demand passes 1.3 times what premium alone asks against it, its cut follows all demand with that lead.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -197,8 +197,8 @@
 			f.servers = slices.Insert(f.servers, i, s)
 		}
 		s := f.servers[i]
-		// Guards against a start that the directory tells late or without its instant: a server first named
-		// later than the first list is cold from now. It could keep a warm server slow for one warm-up.
+		// Against a start told without its instant: a server first named later than the first list is cold from
+		// now. It could keep a warm server slow for one warm-up.
 		if !found && !first && e.Born == 0 {
 			s.born = f.now
 		}
@@ -344,8 +344,10 @@
 		k := lift / (d[0] + d[1])
 		d[0], d[1] = d[0]*k, d[1]*k
 	}
+	// In a crush premium leads an equal cut by so much: a few top rungs cost many their lowest. Tried 1 to 3.
+	const lead = 1.3
 	if s.group.premium == 1 {
-		return d[1] / t, d[1] / t
+		return max(d[1], (d[0]+d[1])/lead) / t, d[1] / t
 	}
 	return d[0] / max(t-l.asks(true), 1), (d[0] + d[1]) / t
 }
@@ -466,9 +468,8 @@
 		case TimedOut, NoConnection, Reset:
 			f.setAside(sv)
 		}
-		if o == Full && sv.state == Ready {
-			// A second is about how long a report takes to change.
-			sv.full = f.now + 1
+		if o == Full {
+			sv.full = f.now + 1 // a second is about how long a report takes to change
 		}
 	}
 	s := f.sess[id]
@@ -689,11 +690,10 @@
 				next = sv
 			}
 		}
-		if next == nil {
-			return
+		if next != nil {
+			next.probe = true
+			next.uplink.seen = max(next.uplink.seen, f.now-20)
 		}
-		next.probe = true
-		next.uplink.seen = max(next.uplink.seen, f.now-20)
 	}
 }
 
