--- a/choice/api.go
+++ b/choice/api.go
@@ -14,7 +14,6 @@
 	Setup(id SessID, server ServerID, wait float64) // send a SETUP, waiting so many seconds at most
 	BusyReply(id SessID, comeBack float64)          // final answer: busy; 0 gives no advice
 	TearDown(id SessID)                             // final answer: failed
-	Move(id SessID)                                 // end a playing session so that it comes back to this front
 	Probe(server ServerID)                          // examine a server
 	Wake(after float64)                             // call Due after so many seconds
 }
@@ -31,13 +30,12 @@
 
 // ServiceGroup is one service group's terms.
 type ServiceGroup struct {
-	Utility      float64 // of a second at a rung of utility 1
-	Scale        float64 // its rates over those of the ladder
-	StartTarget  float64 // seconds within which an answer is wanted
-	SetupTimeout float64 // seconds after which viewers give up
-	Paid         bool    // a SETUP is paid for and must not be repeated
-	Floor, Top   int     // lowest and highest rung
-	Seats        int     // sessions of one title that a front may hold; 0 is no cap
+	Utility     float64 // of a second at a rung of utility 1
+	Scale       float64 // its rates over those of the ladder
+	StartTarget float64 // seconds within which an answer is wanted
+	Paid        bool    // a SETUP is paid for and must not be repeated
+	Floor, Top  int     // lowest and highest rung
+	Seats       int     // sessions of one title that a front may hold; 0 is no cap
 }
 
 // StartFigures is what a front knows when it starts. The module derives its own figures and drops the rest.
@@ -47,21 +45,16 @@
 	Zone           int
 	Groups         []ServiceGroup
 	Ladder         []float64 // kB a second for each rung
-	RungUtility    []float64 // what each rung earns
 	Cells, Racks   int
-	LinkPerHeft    float64   // kB a second of link for each unit of heft
 	FleetLinks     float64   // kB a second of all links together
 	UplinkMean     float64   // kB a second of a rack's uplink
 	Places         []float64 // streams at most, for each kind of server
 	NoteLag        float64   // seconds that notes lag
 	NoteEvery      float64   // seconds between load notes; 0 is none
-	SwitchCost     float64   // seconds of utility lost with a change of rung
-	StallCost      float64   // points of utility lost for each missing point of the rate
 	MostSetups     int       // SETUPs at most for one request
 	Advice         float64   // longest advice on coming back that viewers follow; 0 is none
+	FullAt         float64   // servers answer full while so much of their link is asked; 0 is never
 	Probes         bool
-	ProbePrice     float64 // for a probe, in sessions
-	MovePrice      float64 // for a move, in sessions
 	CrossZonePrice float64 // for a session that crosses zones, in sessions
 	Reporting      Reporting
 	WarmUp         float64 // a started server is warm after so many seconds
@@ -102,7 +95,6 @@
 	BestRung  int
 	Expires   float64 // instant at which the viewer gives up
 	Length    float64 // expected length in seconds; 0 is not told
-	Moved     bool    // back from a move
 }
 
 // Outcome tells how a SETUP or a probe ended.
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,5 +1,4 @@
 // Package choice decides for one front which server holds a session, at which rung, or turns it away.
-//
 // How it is called: New once, then At with the clock and one method an event, in order; Settle ends a batch.
 // Events change the wanted state; Settle alone works out the difference to the present and emits it as Acts.
 // The interface is in api.go. Instances share nothing, and use no clock or chance but what they are handed.
@@ -34,6 +33,7 @@
 	slot, warmUp, coldest float64 // a cold server's slot; its warm-up and first share
 	survey, near          float64 // probes for each session taken; what a holder in the own zone is ahead by
 	spare, share, window  float64 // the ration of further SETUPs
+	fullAt                float64 // of the link asked, at which servers answer full; -1 is never
 	probes, half          bool    // probes are allowed; half of each slot stays shut
 
 	servers        []*server        // by id; emptied of those gone once no session is left there
@@ -128,7 +128,10 @@
 		cells: max(s.Cells, 1), racks: max(s.Racks, 1), fronts: max(s.Fronts, 1), me: s.Me, zone: s.Zone,
 		most: max(s.MostSetups, 1), lag: s.NoteLag, every: s.NoteEvery, advice: s.Advice, warmUp: s.WarmUp,
 		coldest: s.ColdShare, probes: s.Probes, spare: s.SpareSetups, share: s.SetupShare,
-		first: now + 1.2, window: s.SetupWindow, sess: map[SessID]*sess{}, seats: map[seat]int{}}
+		fullAt: cmp.Or(s.FullAt, -1), first: now + 1.2, window: s.SetupWindow, sess: map[SessID]*sess{}, seats: map[seat]int{}}
+	if len(f.places) == 0 {
+		f.places = []float64{1}
+	}
 	lowest := math.Inf(1)
 	for _, g := range s.Groups {
 		lowest = min(lowest, g.Utility)
@@ -155,11 +158,8 @@
 		f.survey = 0.4
 	}
 	// The least that any kind may be sent within the fall time, a quarter kept for set-ups of more work.
-	budget := math.Inf(1)
-	for _, p := range s.Places {
-		budget = min(budget, s.FallFactor*p/max(s.WarmUp, 1e-3)*s.ColdShare*s.FallTime)
-	}
-	if budget > 0 && !math.IsInf(budget, 1) {
+	budget := s.FallFactor * slices.Min(f.places) / max(s.WarmUp, 1e-3) * s.ColdShare * s.FallTime
+	if budget > 0 {
 		// A window touches one slot more than fit in it; where that leaves none, half of each slot stays shut.
 		f.slot = s.FallTime / max(math.Floor(budget*0.75)-1, 0.5)
 		f.half = budget*0.75 < 2
@@ -183,7 +183,7 @@
 		// Heft is flat, so the fleet's links are split by the streams that each kind may run.
 		sum := 0.0
 		for _, e := range list {
-			sum += f.places[e.Kind]
+			sum += f.places[min(e.Kind, len(f.places)-1)]
 		}
 		f.perPlace = f.fleet / max(sum, 1)
 	}
@@ -206,7 +206,7 @@
 			s.born, s.aside, s.heard, s.link.parted = e.Born, false, 0, 0
 		}
 		s.zone, s.cell, s.state = e.Zone, e.Cell, e.State
-		s.link.told = f.perPlace * f.places[e.Kind]
+		s.link.told = f.perPlace * f.places[min(e.Kind, len(f.places)-1)]
 		s.uplink = f.uplinks[e.Cell%f.racks]
 	}
 	for _, s := range f.servers {
@@ -470,6 +470,7 @@
 		}
 		if o == Full {
 			sv.full = f.now + 1 // a second is about how long a report takes to change
+			f.report(sv, Report{Link: f.fullAt, Uplink: -1}, 0)
 		}
 	}
 	s := f.sess[id]
@@ -802,7 +803,6 @@
 			s.sent++
 		}
 	}
-	clear(f.touched)
 	f.touched = f.touched[:0]
 	for _, sv := range f.servers {
 		if sv.probe && f.probes && !sv.probing && sv.state == Ready {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -188,7 +188,8 @@
 func TestInACrushPremiumLeadsABoundedCut(t *testing.T) {
 	m := alone(func(s *StartFigures) { s.Groups[0].Seats = 0 })
 	l, s := &link{told: 1000, smoothed: m.w.now}, &sess{group: &m.f.groups[0]}
-	for _, c := range []struct{ others, premium, want float64 }{{0, 500, 0.5}, {900, 900, 1.4}, {9000, 900, 7.6}} {
+	cases := []struct{ others, premium, want float64 }{{0, 500, 0.5}, {900, 900, 1.4}, {9000, 900, 7.6}}
+	for _, c := range cases {
 		l.demand = [2]float64{c.others, c.premium}
 		if own, _ := m.f.pressure(l, nil, s, 0); own < c.want*0.99 || own > c.want*1.1 {
 			t.Errorf("%.0f and %.0f asked: pressure %.2f, not about %.2f", c.others, c.premium, own, c.want)
--- a/choice/world_test.go
+++ b/choice/world_test.go
@@ -9,9 +9,9 @@
 // figures are plain start figures: two service groups, the first paid and premium, with a floor and seats.
 func figures() StartFigures {
 	return StartFigures{Seed: 7, Fronts: 2, Groups: []ServiceGroup{
-		{Utility: 3, Scale: 1.4, StartTarget: 1, SetupTimeout: 4, Paid: true, Floor: 1, Top: 3, Seats: 6},
-		{Utility: 1, Scale: 1, StartTarget: 1, SetupTimeout: 5, Top: 3}},
-		Ladder: []float64{200, 500, 1000, 2000}, RungUtility: []float64{.2, .5, .8, 1}, Cells: 6, Racks: 2,
+		{Utility: 3, Scale: 1.4, StartTarget: 1, Paid: true, Floor: 1, Top: 3, Seats: 6},
+		{Utility: 1, Scale: 1, StartTarget: 1, Top: 3}},
+		Ladder: []float64{200, 500, 1000, 2000}, Cells: 6, Racks: 2,
 		FleetLinks: 60000, UplinkMean: 25000, Places: []float64{20}, NoteLag: 1, NoteEvery: 3, MostSetups: 2,
 		Advice: 1, Probes: true, Reporting: ReportsInAnswers, WarmUp: 10, ColdShare: 0.4, FallFactor: 3,
 		FallTime: 1, SpareSetups: 2, SetupShare: 0.1, SetupWindow: 5}
@@ -193,7 +193,6 @@
 }
 
 func (m *mock) TearDown(id SessID) { m.torn++; m.final(id) }
-func (m *mock) Move(SessID)        {}
 func (m *mock) Wake(after float64) { m.wake = m.w.now + after }
 func (m *mock) Probe(s ServerID)   { m.probes = append(m.probes, s) }
 
--- a/internal/wire/start.go
+++ b/internal/wire/start.go
@@ -25,18 +25,16 @@
 	s.Me, s.Fronts, s.Zone = g.whole("me", false), g.whole("balancers", false), g.whole("zone", false)
 	fam := "family_info."
 	s.Cells, s.Racks = g.whole(fam+"cells", false), g.whole(fam+"cabinets", false)
-	s.LinkPerHeft, s.FleetLinks = g.optional(fam+"kb_per_weight"), g.optional(fam+"fleet_kb")
-	s.UplinkMean = g.optional(fam + "uplink_kb")
-	s.Ladder, s.RungUtility = g.numbers(fam+"level_kb"), g.numbers(fam+"worth_by_rung")
+	s.FleetLinks = g.optional(fam + "fleet_kb")
+	s.UplinkMean, s.FullAt = g.optional(fam+"uplink_kb"), g.optional(fam+"guard")
+	s.Ladder = g.numbers(fam + "level_kb")
 	s.Places = g.numbers(fam + "places_by_kind")
 	s.NoteLag, s.NoteEvery = g.seconds(fam+"see", false), g.seconds(fam+"told_every", false)
-	s.SwitchCost, s.StallCost = g.optional(fam+"switch_cost_s"), g.optional(fam+"stall_cost")
 	s.MostSetups = g.whole("caps.most_tries", false)
 	if f["caps.retry_after"] == "true" || f["caps.retry_after"] == "1" {
 		s.Advice = g.seconds("caps.max_retry_after", false)
 	}
 	s.Probes = f["caps.probes"] == "true" || f["caps.probes"] == "1"
-	s.ProbePrice, s.MovePrice = g.optional("charges.probe"), g.optional("charges.moves")
 	s.CrossZonePrice = g.optional("charges.cross_zone")
 	switch f["reporting.source"] {
 	case "piggyback":
@@ -53,8 +51,8 @@
 	for i := range g.whole("grades.count", false) {
 		at := fmt.Sprintf("grades.%d.", i)
 		s.Groups = append(s.Groups, choice.ServiceGroup{Utility: g.optional(at + "worth"), Scale: nth(scale, i, 1),
-			StartTarget: g.seconds(at+"goal_time", false), SetupTimeout: g.seconds(at+"hard_limit", false),
-			Paid: f[at+"effect"] != "pure", Floor: int(nth(floor, i, 0)),
+			StartTarget: g.seconds(at+"goal_time", false),
+			Paid:        f[at+"effect"] != "pure", Floor: int(nth(floor, i, 0)),
 			Top: int(nth(top, i, float64(len(s.Ladder)-1))), Seats: int(nth(seats, i, 0))})
 	}
 	return e, g.err
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -199,7 +199,7 @@
 		e.Request = choice.Request{ID: choice.SessID(g.text("xid")), Group: g.whole("tier_class", false),
 			Title: g.f["programme"], StartCell: g.whole("start_cell", false), Span: g.whole("span", false),
 			BestRung: g.whole("best_rung", false), Expires: g.seconds("expires", word == "ASK"),
-			Length: g.seconds("work", false), Moved: g.f["was_moved"] == "1"}
+			Length: g.seconds("work", false)}
 		if word == "PREEXISTING" {
 			e.Kind, e.Server = Handed, g.server("server")
 		}
--- a/internal/wire/write.go
+++ b/internal/wire/write.go
@@ -56,9 +56,6 @@
 	fmt.Fprintf(a.To.out, "DROP_REQUEST i=%s xid=%s\n", a.Front, id)
 }
 
-// Move ends a playing session, which comes back.
-func (a Acts) Move(id choice.SessID) { fmt.Fprintf(a.To.out, "BOUNCE i=%s xid=%s\n", a.Front, id) }
-
 // Probe examines a server.
 func (a Acts) Probe(server choice.ServerID) {
 	fmt.Fprintf(a.To.out, "TOUCH i=%s server=%d\n", a.Front, server)
