--- a/choice/choice.go
+++ b/choice/choice.go
@@ -4,12 +4,12 @@
 // The interface is in api.go. Instances share nothing, and use no clock or chance but what they are handed.
 //
 // Mechanisms beside the design (docs/design.md says when each acts):
-//  1. part:      a front's part of a link it shares, corrected by load reports and short-delivery notes
-//  2. surge:     demand that runs ahead of its smoothed figure counts at once
-//  3. silence:   a server whose silence is unusual is probed, set aside, and returns after it answers probes
-//  4. again:     further SETUPs within the start target, the ration and the terms of paid groups
-//  5. warming:   a cold server gets SETUPs in this front's slots only, and its link counts at its warm share
-//  6. survey:    probes spread over the racks where load is told to probes only
+//  1. part:    a front's part of a link it shares, corrected by load reports, short-delivery notes, full answers
+//  2. crush:   demand ahead of its smoothed figure counts; premium's lead is bounded; lowest rungs may still fit
+//  3. silence: a server unusually silent is probed, set aside, and returns after it answers probes
+//  4. again:   further SETUPs within the start target, the ration and the terms of paid groups
+//  5. warming: a cold server gets SETUPs in this front's slots only, and counts at its warm share
+//  6. survey:  probes spread over racks and servers where load is told to probes only
 package choice
 
 import (
@@ -128,7 +128,8 @@
 		cells: max(s.Cells, 1), racks: max(s.Racks, 1), fronts: max(s.Fronts, 1), me: s.Me, zone: s.Zone,
 		most: max(s.MostSetups, 1), lag: s.NoteLag, every: s.NoteEvery, advice: s.Advice, warmUp: s.WarmUp,
 		coldest: s.ColdShare, probes: s.Probes, spare: s.SpareSetups, share: s.SetupShare,
-		fullAt: cmp.Or(s.FullAt, -1), first: now + 1.2, window: s.SetupWindow, sess: map[SessID]*sess{}, seats: map[seat]int{}}
+		fullAt: cmp.Or(s.FullAt, -1), first: now + 1.2, window: s.SetupWindow,
+		sess: map[SessID]*sess{}, seats: map[seat]int{}}
 	if len(f.places) == 0 {
 		f.places = []float64{1}
 	}
