--- a/choice/choice.go
+++ b/choice/choice.go
@@ -4,8 +4,8 @@
 // The interface is in api.go. Instances share nothing, and use no clock or chance but what they are handed.
 //
 // Mechanisms beside the design (docs/design.md says when each acts):
-//  1. part:    a front's part of a link it shares, corrected by load reports, short-delivery notes, full answers
-//  2. crush:   demand ahead of its smoothed figure counts; premium's lead is bounded; lowest rungs may still fit
+//  1. part:    a front's part of a shared link, corrected by load reports, short-delivery notes, full answers
+//  2. crush:   demand ahead of its smoothed figure counts; premium's lead is bounded; lowest rungs may fit
 //  3. silence: a server unusually silent is probed, set aside, and returns after it answers probes
 //  4. again:   further SETUPs within the start target, the ration and the terms of paid groups
 //  5. warming: a cold server gets SETUPs in this front's slots only, and counts at its warm share
