Probe servers set aside 1 s apart at first, and silent ones after three note periods

Cause: two good answers half a second apart brought hanging servers back too soon, and the watch spent probes on late reports.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -660,13 +660,13 @@
 	if sv.aside {
 		// Sparser the longer it lasts, as probes have a price; 4 s is what a return may be missed by.
 		if f.now >= sv.probeAt {
-			sv.probe, sv.probeAt = true, f.now+max(0.5, min(4, (f.now-sv.left)/3))
+			sv.probe, sv.probeAt = true, f.now+max(1, min(4, (f.now-sv.left)/3))
 		}
 		return
 	}
-	// Only where sessions make it speak. Chance leaves four spreads past the mean to one gap in some fifty.
+	// Only where sessions make it speak. Four spreads: one gap in some fifty; three periods: late reports.
 	if len(sv.link.sess) > 0 && f.every > 0 && sv.life.mean > 0 &&
-		f.now-sv.heard > max(sv.life.mean+4*sv.life.dev, f.every*1.5) {
+		f.now-sv.heard > max(sv.life.mean+4*sv.life.dev, f.every*3) {
 		sv.probe, sv.heard = true, f.now
 	}
 }
