--- a/choice/choice.go
+++ b/choice/choice.go
@@ -305,8 +305,8 @@
 	l.smoothed = f.now
 }
 
-// mark is the target over the told size. Coarse rungs come to rest below the target by themselves; 0.78 to 1.05
-// were tried, and less than 0.97 leaves links empty.
+// mark is the target over the told size. Coarse rungs come to rest below the target by themselves; of 0.78 to
+// 1.05 tried, less leaves links empty and more makes overloaded ones short.
 const mark = 0.97
 
 // target is the bandwidth that this front may ask of a link: a mark below its part of the told size.
@@ -337,7 +337,7 @@
 	t := max(f.target(l, sv), 1)
 	d := l.demand
 	d[s.group.premium] += more
-	// Lifts fade by e in 5 s once notes stop: half the window, as two or three notes missed mean that it is over.
+	// Lifts fade by e in 5 s once notes stop, half the window: a few notes missed mean that it is over.
 	if lift := l.lift * math.Exp((l.lifted-f.now)/5); lift > d[0]+d[1] && d[0]+d[1] > 0 {
 		k := lift / (d[0] + d[1])
 		d[0], d[1] = d[0]*k, d[1]*k
@@ -539,7 +539,7 @@
 	f.reckon(l, x, lag)
 }
 
-// reckon corrects this front's part of a link by its load some seconds ago: room under the mark is shared among
+// reckon corrects this front's part of a link by its load some seconds ago: room under the mark is shared by
 // the fronts, excess is given back in proportion to what each asks.
 func (f *Front) reckon(l *link, x, lag float64) {
 	own := l.asks(false)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -196,3 +196,16 @@
 		}
 	}
 }
+
+// A front that was restarted may have used the present slot before.
+func TestRestartedFrontLeavesItsFirstSlot(t *testing.T) {
+	w := newWorld(1, 1)
+	m := w.fronts[0]
+	w.born[10] = w.now
+	m.start(0)
+	if s := m.f.server(10); m.f.open(s) {
+		t.Error("a SETUP may go to a cold server in the slot of the start")
+	} else if m.f.now += m.f.slot; !m.f.open(s) {
+		t.Error("the next slot stays shut")
+	}
+}
