--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -201,7 +201,7 @@
 func TestRestartedFrontLeavesItsFirstSlot(t *testing.T) {
 	w := newWorld(1, 1)
 	m := w.fronts[0]
-	w.born[10] = w.now
+	w.born[10] = w.now - 3
 	m.start(0)
 	if s := m.f.server(10); m.f.open(s) {
 		t.Error("a SETUP may go to a cold server in the slot of the start")
