--- a/choice/choice.go
+++ b/choice/choice.go
@@ -43,6 +43,11 @@
 	taken, further []float64        // requests and further SETUPs, when; emptied past the ration's window
 	nextDue, owed  float64          // the wake-up that is set; survey probes earned and not sent
 	first          float64          // when the survey begins
+	usual          [2]float64       // mean load of links and of uplinks by all readings
+	readings       [2]float64       // so many, up to a bound
+	pooled         float64          // when tops and asks were summed
+	tops, rungs    [2]float64       // of all own sessions: top rates and rung rates; others, premium
+	held, floors   float64          // and how many, and their lowest rungs' rates
 }
 
 type group struct {
@@ -63,11 +68,14 @@
 	demand       [2]float64 // smoothed top rates: the other groups, the premium ones
 	smoothed     float64    // when
 	lift, lifted float64    // what short-delivery notes lift demand to, and when
-	part, parted float64    // this front's part of the capacity, and when; 0 is never
+	rest, read   float64    // what other fronts asked at the last reading, and when; 0 is never
 	past         [8]float64 // rung rates asked at the last ticks, newest first
 	load, seen   float64    // what a server last said, and when
 	share, noted float64    // delivered when it was last noted short, and when
 	down, up     float64    // no step before
+	size         float64    // capacity: told, or more where the own sessions show it
+	fresh        bool       // read, joined or left since it was last looked at
+	kind         int        // 0 a server's link, 1 a rack's uplink
 }
 
 type server struct {
@@ -145,7 +153,7 @@
 		}
 	}
 	for range f.racks {
-		f.uplinks = append(f.uplinks, &link{told: s.UplinkMean})
+		f.uplinks = append(f.uplinks, &link{told: s.UplinkMean, size: s.UplinkMean, kind: 1})
 	}
 	// Where crossing zones has a price, a tenth of a session settles near ties; more costs room than it saves.
 	if s.CrossZonePrice > 0 {
@@ -201,10 +209,11 @@
 			s.born = f.now
 		}
 		if e.Born > s.born {
-			s.born, s.aside, s.heard, s.link.parted = e.Born, false, 0, 0
+			s.born, s.aside, s.heard, s.link.read = e.Born, false, 0, 0
 		}
 		s.zone, s.cell, s.state = e.Zone, e.Cell, e.State
 		s.link.told = f.perPlace * f.places[min(e.Kind, len(f.places)-1)]
+		s.link.size = max(s.link.size, s.link.told)
 		s.uplink = f.uplinks[e.Cell%f.racks]
 	}
 	for _, s := range f.servers {
@@ -251,6 +260,7 @@
 	f.smooth(sv.link)
 	f.smooth(sv.uplink)
 	s.holder = sv
+	sv.link.fresh, sv.uplink.fresh = true, true
 	sv.link.sess = append(sv.link.sess, s)
 	sv.uplink.sess = append(sv.uplink.sess, s)
 	f.seats[s.seat]++
@@ -262,6 +272,7 @@
 	}
 	for _, l := range [2]*link{s.holder.link, s.holder.uplink} {
 		f.smooth(l)
+		l.fresh = true
 		l.sess = slices.DeleteFunc(l.sess, func(o *sess) bool { return o == s })
 	}
 	if f.seats[s.seat]--; f.seats[s.seat] <= 0 {
@@ -309,18 +320,58 @@
 // 1.05 tried, less leaves links empty and more makes overloaded ones short.
 const mark = 0.97
 
-// target is the bandwidth that this front may ask of a link: a mark below its part of the told size.
+// target is a mark below a link's size. A link that was not read since its server started counts at its warm share.
 func (f *Front) target(l *link, sv *server) float64 {
-	t := l.told * mark / float64(f.fronts)
-	if sv != nil && l == sv.link {
-		t *= f.warm(sv)
+	if sv != nil && l == sv.link && l.read <= sv.born {
+		return mark * l.size * f.warm(sv)
 	}
-	if l.parted > 0 {
-		// What was seen fades into what is told: sessions turn over within some 30 s.
-		w := math.Exp((l.parted - f.now) / 30)
-		t = w*l.part + (1-w)*t
+	return mark * l.size
+}
+
+// pool sums what all own sessions ask, at their top rates and at their rungs, once an instant.
+func (f *Front) pool() {
+	if f.pooled == f.now {
+		return
+	}
+	f.pooled, f.held, f.floors, f.tops, f.rungs = f.now, 0, 0, [2]float64{}, [2]float64{}
+	for _, l := range f.uplinks {
+		for _, s := range l.sess {
+			f.held++
+			f.tops[s.group.premium] += s.group.rates[s.best]
+			f.rungs[s.group.premium] += s.group.rates[s.wantRung]
+			f.floors += s.group.rates[s.group.Floor]
+		}
 	}
-	return t
+}
+
+// others is what other fronts ask of a link: what its last reading leaves beside the own sessions. It fades into
+// the usual load of such links, as sessions turn over within some 30 s.
+func (f *Front) others(l *link) float64 {
+	usual := f.usual[l.kind]
+	if n := f.readings[l.kind]; n < 4 { // TODO weights
+		// Before anything was read: what the own sessions say of all fronts, five of them to outweigh a guess.
+		f.pool()
+		own := (f.rungs[0] + f.rungs[1]) * float64(f.fronts) / f.fleet
+		usual = (usual*n + (own*f.held+0.6*5)/(f.held+5)*(4-n)) / 4
+	}
+	w := 0.0
+	if l.read > 0 {
+		w = math.Exp((l.read - f.now) / 30)
+	}
+	return w*l.rest + (1-w)*usual*l.size*(1-1/float64(f.fronts))
+}
+
+// fraction is what sessions on a link play at over their top rates: its own ones', one more at the mean of all.
+func (f *Front) fraction(l *link) float64 {
+	f.pool()
+	const guess = 0.4 // the mean of a front without sessions
+	one := f.groups[0].rates[len(f.groups[0].rates)-1]
+	mean := (f.rungs[0] + f.rungs[1] + guess*one) / (f.tops[0] + f.tops[1] + one)
+	top := 0.0
+	for _, s := range l.sess {
+		top += s.group.rates[s.best]
+	}
+	return (l.asks(false) + mean*one) / (top + one)
 }
 
 // warm is the share of its capacity that a server has reached.
@@ -337,6 +388,14 @@
 	t := max(f.target(l, sv), 1)
 	d := l.demand
 	d[s.group.premium] += more
+	// Other fronts' demand: what they ask, over the fraction of their top rates that sessions play at.
+	o := f.others(l)
+	p, q := 0.0, 0.0 // premium's part of top rates and of rung rates
+	if f.tops[1] > 0 {
+		p, q = f.tops[1]/(f.tops[0]+f.tops[1]), f.rungs[1]/(f.rungs[0]+f.rungs[1])
+	}
+	d[0] += o / f.fraction(l) * (1 - p)
+	d[1] += o / f.fraction(l) * p
 	// Lifts fade by e in 5 s once notes stop, half the window: a few notes missed mean that it is over.
 	if lift := l.lift * math.Exp((l.lifted-f.now)/5); lift > d[0]+d[1] && d[0]+d[1] > 0 {
 		k := lift / (d[0] + d[1])
@@ -347,7 +406,7 @@
 	if s.group.premium == 1 {
 		return max(d[1], (d[0]+d[1])/lead) / t, d[1] / t
 	}
-	return d[0] / max(t-l.asks(true), 1), (d[0] + d[1]) / t
+	return d[0] / max(t-l.asks(true)-o*q, 1), (d[0] + d[1]) / t
 }
 
 // rungFor is the design's rung: top rate by target over demand, smaller factor of link and uplink, nearest.
@@ -385,7 +444,8 @@
 		_, u := f.pressure(sv.uplink, sv, s, 0)
 		// Past double new sessions are turned away, but for one whose lowest rung still fits under the target:
 		// here viewers don't wait, and a tenth of the rate earns a quarter of the utility.
-		if max(a, u) > 2 && f.room(sv) < s.group.rates[s.group.Floor] {
+		if max(a, u) > 2 && f.room(sv) < s.group.rates[s.group.Floor] &&
+			(f.least(sv.link, sv, s) > 0.7 || f.least(sv.uplink, sv, s) > 0.7) {
 			continue
 		}
 		// Near ties fall by chance, so that fronts that see alike don't all choose alike.
@@ -402,7 +462,7 @@
 		return
 	}
 	r := f.rungFor(s, best, top)
-	if r > s.group.Floor && s.group.rates[r] > f.room(best) {
+	if r > s.group.Floor && s.group.rates[r] > f.room(best)-free*best.link.size {
 		r--
 	}
 	s.wantRung, s.wantOut = r, true
@@ -539,23 +599,30 @@
 	f.reckon(l, x, lag)
 }
 
-// reckon corrects this front's part of a link by its load some seconds ago: room under the mark is shared by
-// the fronts, excess is given back in proportion to what each asks.
+// reckon tells what other fronts ask of a link by its load some seconds ago.
 func (f *Front) reckon(l *link, x, lag float64) {
 	own := l.asks(false)
 	if i := int(lag / tick); i > 0 {
 		own = l.past[min(i, len(l.past))-1]
 	}
-	// Not all fronts want a link's room at once: by the power 0.75 of their number, tried from 0 to 1.
-	p := own + (mark-x)*l.told*math.Pow(float64(f.fronts), -0.75)
-	if x > mark {
-		p = own * mark / x
+	// A front hears of links where it has sessions, so of crowded ones more often: a reading weighs by one over
+	// the odds of being heard. Some thirty readings make the usual load.
+	f.pool()
+	w := 1.0
+	if len(l.sess) > 0 && f.fronts > 1 {
+		n := max(x*l.size/max((f.rungs[0]+f.rungs[1])/max(f.held, 1), 1), 1)
+		w = 1 / (1 - math.Pow(1-1/float64(f.fronts), n))
 	}
-	if l.parted == 0 {
-		l.part = p
+	f.readings[l.kind] = f.readings[l.kind]*29/30 + w
+	f.usual[l.kind] += (x - f.usual[l.kind]) * w / f.readings[l.kind]
+	// Where the own sessions alone ask more than the load makes of the told size, the link is larger.
+	l.size += (max(l.told, own/max(x, 0.1)) - l.size) * 0.6
+	if r := max(x*l.size-own, 0); l.read == 0 {
+		l.rest = r
+	} else {
+		l.rest += (r - l.rest) * 0.6 // reports are noisy; two count for most of it
 	}
-	l.part += (p - l.part) * 0.6 // reports are noisy; two count for most of it
-	l.parted = f.now
+	l.read, l.fresh = f.now, true
 }
 
 // Short takes a note of the share of the rate delivered at a server; 0.98 and more means that it is over.
@@ -582,7 +649,7 @@
 	if fresh := f.now-sv.uplink.seen < 5; fresh && sv.uplink.load > 1 || !fresh && like > 1 && l.load < 0.95 {
 		l = sv.uplink
 	}
-	l.lift, l.lifted = max(l.told/float64(f.fronts)/max(share, 0.1), l.lift*math.Exp((l.lifted-f.now)/5)), f.now
+	l.lift, l.lifted = max(l.size/max(share, 0.1), l.lift*math.Exp((l.lifted-f.now)/5)), f.now
 	f.reckon(l, 1/max(share, 0.1), f.lag)
 }
 
@@ -645,7 +712,7 @@
 	}
 	for _, l := range links {
 		copy(l.past[1:], l.past[:])
-		l.past[0] = l.asks(false)
+		l.past[0], l.fresh = l.asks(false), false
 	}
 }
 
@@ -713,14 +780,20 @@
 	f.touched = append(f.touched, s)
 }
 
-// lower steps playing sessions down while what they ask passes the target.
+// lower steps playing sessions down while what is asked passes the target.
 func (f *Front) lower(l *link, sv *server) {
-	if f.now < l.down {
+	if !l.fresh || f.now < l.down || len(l.sess) == 0 {
 		return
 	}
 	// The switch pace: half of the sessions every 2 s, then no step up for 6 s. Slower lets a short link cost
 	// all of its sessions, faster takes back what noisy readings ask for; tried from 0.5 to 3 s and 1 to 10 s.
-	for n := (len(l.sess) + 1) / 2; n > 0 && l.asks(false) > f.target(l, sv)*1.1; n-- {
+	own := l.asks(false)
+	all, t := own+f.others(l), f.target(l, sv)
+	if all <= t*1.1 {
+		return
+	}
+	excess := (all - t) * own / all // this front's part
+	for n := (len(l.sess) + 1) / 2; n > 0 && excess > 0; n-- {
 		s := l.pick(func(s *sess) float64 {
 			if s.wantRung <= s.group.Floor {
 				return 0
@@ -734,17 +807,25 @@
 		if s == nil {
 			return
 		}
-		f.step(s, -1)
+		// A step that takes more than the excess falls by chance, so that all fronts together take about that.
+		to := min(s.wantRung-1, f.rungFor(s, s.holder, 0))
+		less := s.group.rates[s.wantRung] - s.group.rates[to]
+		if less > excess && f.chance() > excess/less {
+			return
+		}
+		excess -= less
+		f.step(s, to-s.wantRung)
 		l.down, l.up = f.now+2, f.now+6
 	}
 }
 
 // raise steps one playing session of a server up when link and uplink have room.
 func (f *Front) raise(sv *server) {
-	if f.now < sv.link.up || f.now < sv.uplink.up || sv.state != Ready {
+	if !sv.link.fresh && !sv.uplink.fresh || len(sv.link.sess) == 0 || f.now < sv.link.up || f.now < sv.uplink.up ||
+		sv.state != Ready {
 		return
 	}
-	room := f.room(sv)
+	room := f.room(sv) - free*sv.link.size
 	s := sv.link.pick(func(s *sess) float64 {
 		if s.wantRung >= s.best || s.ends > 0 && s.ends < f.now+3 || f.now-s.switched < 8 {
 			return 0
@@ -755,15 +836,44 @@
 		}
 		return s.group.Utility / more
 	})
-	if s != nil {
-		f.step(s, 1)
-		sv.link.up = f.now + 1
+	if s == nil {
+		return
+	}
+	// Other fronts see the same room: a step beyond this front's part of it falls by chance.
+	own := sv.link.asks(false)
+	part := room * own / (own + f.others(sv.link))
+	to := f.rungFor(s, sv, 0)
+	for s.group.rates[to]-s.group.rates[s.wantRung] > room {
+		to--
 	}
+	more := s.group.rates[to] - s.group.rates[s.wantRung]
+	if more > part && f.chance() > part/more {
+		return
+	}
+	f.step(s, to-s.wantRung)
+	sv.link.up = f.now + 1
 }
 
+// free is what new sessions and steps up leave of a link for noise and for what other fronts send meanwhile.
+const free = 0.25
+
 // room is what the tighter of a server's link and uplink has left under the target.
 func (f *Front) room(sv *server) float64 {
-	return min(f.target(sv.link, sv)-sv.link.asks(false), f.target(sv.uplink, sv)-sv.uplink.asks(false))
+	return min(f.target(sv.link, sv)-sv.link.asks(false)-f.others(sv.link),
+		f.target(sv.uplink, sv)-sv.uplink.asks(false)-f.others(sv.uplink))
+}
+
+// least is what a link would be asked over its target with all sessions at their lowest rungs, one more among them.
+func (f *Front) least(l *link, sv *server, s *sess) float64 {
+	f.pool()
+	sum := s.group.rates[s.group.Floor]
+	for _, o := range l.sess {
+		sum += o.group.rates[o.group.Floor]
+	}
+	if r := f.rungs[0] + f.rungs[1]; r > 0 {
+		sum += f.others(l) * f.floors / r
+	}
+	return sum / f.target(l, sv)
 }
 
 // wait is how long a SETUP may take: where it may be repeated, so that another fits within the start target.
