Reckon other fronts' demand by link loads; steps by chance; two holders probed

Cause: a front's part (told size / fronts) says nothing among a hundred fronts. Now a link's demand is the front's own plus what others ask by its newest reading over the fraction of their top rates that sessions play at, against the whole told size, from 2 fronts to 300. Steps of playing sessions beyond a front's part fall by chance. A session enters past double where all lowest rungs would fit in 0.7. Short notes with a link lately told not full are its uplink's. Two likely holders unheard of for 10 s are probed before a session is placed, in place of the survey.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -4,12 +4,12 @@
 // The interface is in api.go. Instances share nothing, and use no clock or chance but what they are handed.
 //
 // Mechanisms beside the design (docs/design.md says when each acts):
-//  1. part:    a front's part of a shared link, corrected by load reports, short-delivery notes, full answers
+//  1. others:  other fronts' demand on a link, by load reports, short-delivery notes, full answers
 //  2. crush:   demand ahead of its smoothed figure counts; premium's lead is bounded; lowest rungs may fit
 //  3. silence: a server unusually silent is probed, set aside, and returns after it answers probes
 //  4. again:   further SETUPs within the start target, the ration and the terms of paid groups
 //  5. warming: a cold server gets SETUPs in this front's slots only, and counts at its warm share
-//  6. survey:  probes spread over racks and servers where load is told to probes only
+//  6. look:    likely holders of which nothing was heard lately are probed before a session is placed
 package choice
 
 import (
@@ -27,38 +27,27 @@
 
 	cells, racks, fronts, me, zone, most int
 
-	fleet, perPlace       float64 // all links together; link for each place, 0 before the first list
-	lag, every, advice    float64 // of notes, between load notes, on coming back
-	slot, warmUp, coldest float64 // a cold server's slot; its warm-up and first share
-	survey, near          float64 // probes for each session taken; what a holder in the own zone is ahead by
-	spare, share, window  float64 // the ration of further SETUPs
-	fullAt                float64 // of the link asked, at which servers answer full; -1 is never
-	probes, half          bool    // probes are allowed; half of each slot stays shut
+	fleet, lines, perPlace float64 // all links, all uplinks together; link for each place, 0 before the first list
+	lag, every, advice     float64 // of notes, between load notes, on coming back
+	slot, warmUp, coldest  float64 // a cold server's slot; its warm-up and first share
+	near                   float64 // what a holder in the own zone is ahead by
+	spare, share, window   float64 // the ration of further SETUPs
+	fullAt                 float64 // of the link asked, at which servers answer full; -1 is never
+	probes, half           bool    // probes are allowed; half of each slot stays shut
 
 	servers        []*server        // by id; emptied of those gone once no session is left there
 	uplinks        []*link          // by rack
 	sess           map[SessID]*sess // emptied as sessions end
 	seats          map[seat]int     // SETUPs out and sessions held; emptied as outcomes come in
+	waiting        []*sess          // for probes; emptied by answers and by time
 	touched        []*sess          // wanted state may differ from the present; emptied by Settle
 	taken, further []float64        // requests and further SETUPs, when; emptied past the ration's window
-	nextDue, owed  float64          // the wake-up that is set; survey probes earned and not sent
-	first          float64          // when the survey begins
-	usual          [2]float64       // mean load of links and of uplinks by all readings
-	readings       [2]float64       // so many, up to a bound
+	nextDue        float64          // the wake-up that is set
+	usual          [2]float64       // mean load of links and of uplinks by all readings; 0 is none yet
 	pooled         float64          // when tops and asks were summed
 	tops, rungs    [2]float64       // of all own sessions: top rates and rung rates; others, premium
-	held, floors   float64          // and how many, and their lowest rungs' rates
-}
-
-type group struct {
-	ServiceGroup
-	rates   []float64
-	premium int // 1 where its utility is above the lowest, else 0
-}
-
-type seat struct {
-	title string
-	group int
+	floors         float64          // their lowest rungs' rates
+	fraction       float64          // what sessions play at over their top rates
 }
 
 // link is a server's link or a rack's uplink, as this front sees it.
@@ -78,44 +67,6 @@
 	kind         int        // 0 a server's link, 1 a rack's uplink
 }
 
-type server struct {
-	id             ServerID
-	zone, cell     int
-	state          Lifecycle
-	born           float64 // counts as cold from here; 0 is long ago
-	link, uplink   *link
-	life           gaps    // between signs of life
-	heard          float64 // last sign of life
-	aside          bool    // gets no sessions until it answers probes
-	good           int     // probes answered in a row while aside
-	probing, probe bool    // a probe is out, is wanted
-	left, probeAt  float64 // set aside when; next probe while aside
-	full           float64 // full until
-	slot, used     float64 // the slot it last had a SETUP in while cold, and how many
-}
-
-// sess is a session from its request to its end.
-type sess struct {
-	id                        SessID
-	group                     *group
-	seat                      seat
-	start, span, best         int
-	asked, setupTimeout, ends float64 // ends is expected; 0 is not told
-	switched                  float64
-	holder                    *server
-	tried                     []*server
-	sent                      int  // SETUPs
-	out, plays, mayRan        bool // a SETUP is out; it plays; an earlier SETUP may have run
-	rung                      int  // in force
-	wantRung                  int
-	wantOut                   bool // a SETUP to holder is wanted
-	answer                    answer
-}
-
-type answer int
-
-const none, busy, tornDown, over answer = 0, 1, 2, 3
-
 type gaps struct{ mean, dev float64 }
 
 func (g *gaps) add(x float64) {
@@ -133,8 +84,9 @@
 		cells: max(s.Cells, 1), racks: max(s.Racks, 1), fronts: max(s.Fronts, 1), me: s.Me, zone: s.Zone,
 		most: max(s.MostSetups, 1), lag: s.NoteLag, every: s.NoteEvery, advice: s.Advice, warmUp: s.WarmUp,
 		coldest: s.ColdShare, probes: s.Probes, spare: s.SpareSetups, share: s.SetupShare,
-		fullAt: cmp.Or(s.FullAt, -1), first: now + 1.2, window: s.SetupWindow,
+		fullAt: cmp.Or(s.FullAt, -1), window: s.SetupWindow,
 		sess: map[SessID]*sess{}, seats: map[seat]int{}}
+	f.lines = max(s.UplinkMean*float64(f.racks), 1)
 	if len(f.places) == 0 {
 		f.places = []float64{1}
 	}
@@ -159,10 +111,6 @@
 	if s.CrossZonePrice > 0 {
 		f.near = 0.1
 	}
-	// Where load is told to probes only, two sessions in five earn a probe: well under a point of service.
-	if s.Probes && s.Reporting == ReportsInProbes {
-		f.survey = 0.4
-	}
 	// The least that any kind may be sent within the fall time, a quarter kept for set-ups of more work.
 	budget := s.FallFactor * slices.Min(f.places) / max(s.WarmUp, 1e-3) * s.ColdShare * s.FallTime
 	if budget > 0 {
@@ -176,12 +124,6 @@
 // At sets the clock; it comes before each batch of events.
 func (f *Front) At(now float64) { f.now = now }
 
-// chance is a multiply-with-carry generator's next number in [0, 1).
-func (f *Front) chance() float64 {
-	f.mwc = 4294957665*(f.mwc&0xffffffff) + f.mwc>>32
-	return float64(uint32(f.mwc)) / (1 << 32)
-}
-
 // Directory takes the list of servers, whole or changed entries only.
 func (f *Front) Directory(whole bool, list []Listing) {
 	first := f.perPlace == 0
@@ -226,15 +168,26 @@
 	})
 }
 
-// Ask takes a request.
 func (f *Front) Ask(r Request) {
 	f.taken = append(f.taken, f.now)
 	f.ration()
-	f.owed += f.survey
 	f.place(f.admit(r))
 }
 
-// Handed takes over a session that plays already.
+// answered places the sessions that waited for a server's probe, or for longer than a moment.
+func (f *Front) answered() {
+	f.waiting = slices.DeleteFunc(f.waiting, func(s *sess) bool {
+		out := slices.ContainsFunc(s.awaits, func(o *server) bool { return o.probe || o.probing })
+		if out && f.now-s.asked < 0.1 {
+			return false
+		}
+		if s.answer == none {
+			f.place(s)
+		}
+		return true
+	})
+}
+
 func (f *Front) Handed(r Request, id ServerID) {
 	s := f.admit(r)
 	s.plays, s.sent = true, 1
@@ -281,25 +234,6 @@
 	s.holder = nil
 }
 
-func byID(s *server, id ServerID) int { return cmp.Compare(s.id, id) }
-
-func (f *Front) server(id ServerID) *server {
-	if i, found := slices.BinarySearchFunc(f.servers, id, byID); found {
-		return f.servers[i]
-	}
-	return nil
-}
-
-// asks is what this front's sessions ask of a link at their wanted rungs: all, or the premium groups only.
-func (l *link) asks(premium bool) (sum float64) {
-	for _, s := range l.sess {
-		if !premium || s.group.premium == 1 {
-			sum += s.group.rates[s.wantRung]
-		}
-	}
-	return sum
-}
-
 // smooth brings a link's demand up to now: top rates of the front's own sessions there, over ten seconds.
 func (f *Front) smooth(l *link) {
 	const window = 10 // the design's
@@ -320,7 +254,7 @@
 // 1.05 tried, less leaves links empty and more makes overloaded ones short.
 const mark = 0.97
 
-// target is a mark below a link's size. A link that was not read since its server started counts at its warm share.
+// target is a mark below a link's size, times its warm share where it was not read since its server started.
 func (f *Front) target(l *link, sv *server) float64 {
 	if sv != nil && l == sv.link && l.read <= sv.born {
 		return mark * l.size * f.warm(sv)
@@ -333,26 +267,25 @@
 	if f.pooled == f.now {
 		return
 	}
-	f.pooled, f.held, f.floors, f.tops, f.rungs = f.now, 0, 0, [2]float64{}, [2]float64{}
+	f.pooled, f.floors, f.tops, f.rungs = f.now, 0, [2]float64{}, [2]float64{}
 	for _, l := range f.uplinks {
 		for _, s := range l.sess {
-			f.held++
 			f.tops[s.group.premium] += s.group.rates[s.best]
 			f.rungs[s.group.premium] += s.group.rates[s.wantRung]
 			f.floors += s.group.rates[s.group.Floor]
 		}
 	}
+	one := f.groups[0].rates[len(f.groups[0].rates)-1] // a session at four tenths, for a front without any
+	f.fraction = (f.rungs[0] + f.rungs[1] + 0.4*one) / (f.tops[0] + f.tops[1] + one)
 }
 
-// others is what other fronts ask of a link: what its last reading leaves beside the own sessions. It fades into
-// the usual load of such links, as sessions turn over within some 30 s.
+// others is what other fronts ask of a link: what its last reading leaves beside the own sessions, which fades
+// into the usual load of such links, as sessions turn over within some 30 s.
 func (f *Front) others(l *link) float64 {
-	usual := f.usual[l.kind]
-	if n := f.readings[l.kind]; n < 4 { // TODO weights
-		// Before anything was read: what the own sessions say of all fronts, five of them to outweigh a guess.
-		f.pool()
-		own := (f.rungs[0] + f.rungs[1]) * float64(f.fronts) / f.fleet
-		usual = (usual*n + (own*f.held+0.6*5)/(f.held+5)*(4-n)) / 4
+	// Before the first reading half full and a bit, as most are; uplinks that are not reported go by the links.
+	usual := cmp.Or(f.usual[0], 0.6)
+	if l.kind == 1 {
+		usual = cmp.Or(f.usual[1], usual*f.fleet/f.lines)
 	}
 	w := 0.0
 	if l.read > 0 {
@@ -361,19 +294,6 @@
 	return w*l.rest + (1-w)*usual*l.size*(1-1/float64(f.fronts))
 }
 
-// fraction is what sessions on a link play at over their top rates: its own ones', one more at the mean of all.
-func (f *Front) fraction(l *link) float64 {
-	f.pool()
-	const guess = 0.4 // the mean of a front without sessions
-	one := f.groups[0].rates[len(f.groups[0].rates)-1]
-	mean := (f.rungs[0] + f.rungs[1] + guess*one) / (f.tops[0] + f.tops[1] + one)
-	top := 0.0
-	for _, s := range l.sess {
-		top += s.group.rates[s.best]
-	}
-	return (l.asks(false) + mean*one) / (top + one)
-}
-
 // warm is the share of its capacity that a server has reached.
 func (f *Front) warm(sv *server) float64 {
 	if sv.born == 0 || f.now-sv.born >= f.warmUp {
@@ -389,13 +309,14 @@
 	d := l.demand
 	d[s.group.premium] += more
 	// Other fronts' demand: what they ask, over the fraction of their top rates that sessions play at.
+	f.pool()
 	o := f.others(l)
 	p, q := 0.0, 0.0 // premium's part of top rates and of rung rates
 	if f.tops[1] > 0 {
 		p, q = f.tops[1]/(f.tops[0]+f.tops[1]), f.rungs[1]/(f.rungs[0]+f.rungs[1])
 	}
-	d[0] += o / f.fraction(l) * (1 - p)
-	d[1] += o / f.fraction(l) * p
+	d[0] += o / f.fraction * (1 - p)
+	d[1] += o / f.fraction * p
 	// Lifts fade by e in 5 s once notes stop, half the window: a few notes missed mean that it is over.
 	if lift := l.lift * math.Exp((l.lifted-f.now)/5); lift > d[0]+d[1] && d[0]+d[1] > 0 {
 		k := lift / (d[0] + d[1])
@@ -432,9 +353,13 @@
 		f.giveUp(s)
 		return
 	}
-	var best *server
-	room := math.Inf(-1)
-	top := s.group.rates[s.best]
+	type holder struct {
+		sv   *server
+		room float64
+		shut bool
+	}
+	var list []holder
+	top, floor := s.group.rates[s.best], s.group.rates[s.group.Floor]
 	for _, sv := range f.servers {
 		if (sv.cell-s.start+f.cells)%f.cells >= s.span || sv.state != Ready || sv.aside || f.now < sv.full ||
 			!f.open(sv) || slices.Contains(s.tried, sv) {
@@ -442,25 +367,39 @@
 		}
 		_, a := f.pressure(sv.link, sv, s, 0)
 		_, u := f.pressure(sv.uplink, sv, s, 0)
-		// Past double new sessions are turned away, but for one whose lowest rung still fits under the target:
-		// here viewers don't wait, and a tenth of the rate earns a quarter of the utility.
-		if max(a, u) > 2 && f.room(sv) < s.group.rates[s.group.Floor] &&
-			(f.least(sv.link, sv, s) > 0.7 || f.least(sv.uplink, sv, s) > 0.7) {
-			continue
-		}
+		room := f.room(sv)
+		// Past double new sessions are turned away, but for one whose lowest rung still fits under the target, or
+		// would with all others at theirs: viewers don't wait, and a tenth of the rate earns a quarter of the
+		// utility. The others step down as notes tell them; of 0.5 to 0.9 tried, 0.7 keeps what they lose small.
+		shut := max(a, u) > 2 && room < floor && max(f.least(sv.link, sv, s), f.least(sv.uplink, sv, s)) > 0.7
 		// Near ties fall by chance, so that fronts that see alike don't all choose alike.
-		r := f.room(sv) + top*0.02*f.chance()
+		room += top * 0.02 * f.chance()
 		if sv.zone == f.zone {
-			r += top * f.near
+			room += top * f.near
+		}
+		list = append(list, holder{sv, room, shut})
+	}
+	slices.SortStableFunc(list, func(a, b holder) int { return cmp.Compare(b.room, a.room) })
+	// The two likeliest are probed first where nothing was heard of them for two load notes' time: among many
+	// fronts each knows few links. Tried 1 to 3 and 2 to 12 s; it costs a probe's price and work, and a moment.
+	if f.probes && s.sent == 0 && !s.looked && len(list) > 1 && s.setupTimeout-f.now > 1 {
+		s.looked = true
+		for _, h := range list[:2] {
+			if f.now-h.sv.link.seen > 10 {
+				h.sv.probe, s.awaits = true, append(s.awaits, h.sv)
+			}
 		}
-		if r > room {
-			best, room = sv, r
+		if len(s.awaits) > 0 {
+			f.waiting = append(f.waiting, s)
+			return
 		}
 	}
-	if best == nil {
+	i := slices.IndexFunc(list, func(h holder) bool { return !h.shut })
+	if i < 0 {
 		f.giveUp(s)
 		return
 	}
+	best := list[i].sv
 	r := f.rungFor(s, best, top)
 	if r > s.group.Floor && s.group.rates[r] > f.room(best)-free*best.link.size {
 		r--
@@ -573,14 +512,15 @@
 		return
 	}
 	f.alive(sv)
-	l, lag := sv.link, f.lag
-	if uplink {
-		l = sv.uplink
-	}
+	lag := f.lag
 	if s := f.sess[id]; s != nil && s.switched == f.now {
 		lag = 0 // a note that comes with a set-up tells the present
 	}
-	f.hear(l, x, lag)
+	if uplink {
+		f.hear(sv.uplink, x, lag)
+	} else {
+		f.hear(sv.link, x, lag)
+	}
 }
 
 func (f *Front) report(sv *server, r Report, lag float64) {
@@ -596,6 +536,8 @@
 // hear takes a server's word on a link's load.
 func (f *Front) hear(l *link, x, lag float64) {
 	l.load, l.seen = x, f.now
+	u := cmp.Or(f.usual[l.kind], 0.6)
+	f.usual[l.kind] = u + (x-u)/30 // some thirty readings make the usual load
 	f.reckon(l, x, lag)
 }
 
@@ -605,16 +547,6 @@
 	if i := int(lag / tick); i > 0 {
 		own = l.past[min(i, len(l.past))-1]
 	}
-	// A front hears of links where it has sessions, so of crowded ones more often: a reading weighs by one over
-	// the odds of being heard. Some thirty readings make the usual load.
-	f.pool()
-	w := 1.0
-	if len(l.sess) > 0 && f.fronts > 1 {
-		n := max(x*l.size/max((f.rungs[0]+f.rungs[1])/max(f.held, 1), 1), 1)
-		w = 1 / (1 - math.Pow(1-1/float64(f.fronts), n))
-	}
-	f.readings[l.kind] = f.readings[l.kind]*29/30 + w
-	f.usual[l.kind] += (x - f.usual[l.kind]) * w / f.readings[l.kind]
 	// Where the own sessions alone ask more than the load makes of the told size, the link is larger.
 	l.size += (max(l.told, own/max(x, 0.1)) - l.size) * 0.6
 	if r := max(x*l.size-own, 0); l.read == 0 {
@@ -638,28 +570,32 @@
 		return
 	}
 	// Which of the two is short, notes don't say: the link, unless the uplink's newest report says otherwise or,
-	// without one, two servers beside it tell the same share (one alone may hang as this one does).
-	l, like := sv.link, 0
+	// without one, two servers beside it tell the same share, or the link was lately told not full and no server
+	// beside it contradicts (it may hang then; that shows within 3 s).
+	l, like, unlike := sv.link, 0, 0
 	l.share, l.noted = share, f.now
 	for _, o := range f.servers {
-		if o != sv && o.uplink == sv.uplink && f.now-o.link.noted < 1.5 && math.Abs(o.link.share-share) < 0.05 {
-			like++
+		if o == sv || o.uplink != sv.uplink || len(o.link.sess) == 0 {
+			continue
+		} else if unlike++; f.now-o.link.noted < 1.5 && math.Abs(o.link.share-share) < 0.05 {
+			like, unlike = like+1, unlike-1
 		}
 	}
-	if fresh := f.now-sv.uplink.seen < 5; fresh && sv.uplink.load > 1 || !fresh && like > 1 && l.load < 0.95 {
+	fresh, read := f.now-sv.uplink.seen < 5, f.now-l.seen < 5
+	if fresh && sv.uplink.load > 1 || !fresh && l.load < 0.95 && (like > 1 || read && unlike == 0) {
 		l = sv.uplink
 	}
 	l.lift, l.lifted = max(l.size/max(share, 0.1), l.lift*math.Exp((l.lifted-f.now)/5)), f.now
 	f.reckon(l, 1/max(share, 0.1), f.lag)
 }
 
-// Probed takes a probe's result.
 func (f *Front) Probed(on ServerID, o Outcome, rep Report) {
 	sv := f.server(on)
 	if sv == nil {
 		return
 	}
 	sv.probing = false
+	defer f.answered()
 	if o != Served {
 		f.setAside(sv)
 		return
@@ -691,19 +627,18 @@
 // tick is the pace at which playing sessions are looked at.
 const tick = 0.25
 
-// Due is called when the wake-up comes.
 func (f *Front) Due() {
 	if f.now+1e-6 < f.nextDue {
 		return
 	}
 	f.nextDue = 0
+	f.answered()
 	links := slices.Clone(f.uplinks)
 	for _, sv := range f.servers {
 		f.watch(sv)
 		f.lower(sv.link, sv)
 		links = append(links, sv.link)
 	}
-	f.look()
 	for _, l := range f.uplinks {
 		f.lower(l, nil)
 	}
@@ -735,103 +670,61 @@
 	}
 }
 
-// look spends the survey's probes on the server reported longest ago in the rack reported longest ago.
-func (f *Front) look() {
-	// At first each server with sessions handed over, 1.2 s on, when reports tell of the time since the start.
-	if f.survey > 0 && f.now > f.first {
-		f.first = math.Inf(1)
-		for _, sv := range f.servers {
-			sv.probe = sv.probe || len(sv.link.sess) > 0
-		}
-	}
-	for f.owed >= 1 {
-		f.owed--
-		var next *server
-		for _, sv := range f.servers {
-			if sv.state != Ready || sv.aside || sv.probing || sv.probe {
-				continue
-			}
-			if next == nil || sv.uplink.seen < next.uplink.seen ||
-				sv.uplink == next.uplink && sv.link.seen < next.link.seen {
-				next = sv
-			}
-		}
-		if next != nil {
-			next.probe = true
-			next.uplink.seen = max(next.uplink.seen, f.now-20)
-		}
-	}
-}
-
-// pick is the session on a link that weighs most, nil where none weighs more than 0.
-func (l *link) pick(weigh func(s *sess) float64) (best *sess) {
-	most := 0.0
-	for _, s := range l.sess {
-		if w := weigh(s); s.plays && s.wantRung == s.rung && w > most {
-			best, most = s, w
-		}
-	}
-	return best
-}
-
-func (f *Front) step(s *sess, by int) {
-	s.wantRung += by
-	s.switched = f.now
+func (f *Front) step(s *sess, to int) {
+	s.wantRung, s.switched = to, f.now
 	f.touched = append(f.touched, s)
 }
 
-// lower steps playing sessions down while what is asked passes the target.
+// takes tells whether a step is taken: beyond this front's part by chance, so that all fronts, which hear the
+// same note at once, together take about what there is.
+func (f *Front) takes(step, part float64) bool { return step <= part || f.chance() < part/step }
+
+// lower steps playing sessions down while what is asked passes the target, each straight to the design's rung.
 func (f *Front) lower(l *link, sv *server) {
-	if !l.fresh || f.now < l.down || len(l.sess) == 0 {
-		return
-	}
-	// The switch pace: half of the sessions every 2 s, then no step up for 6 s. Slower lets a short link cost
-	// all of its sessions, faster takes back what noisy readings ask for; tried from 0.5 to 3 s and 1 to 10 s.
 	own := l.asks(false)
 	all, t := own+f.others(l), f.target(l, sv)
-	if all <= t*1.1 {
+	if !l.fresh || f.now < l.down || all <= t*1.1 {
 		return
 	}
 	excess := (all - t) * own / all // this front's part
+	// The switch pace: half of the sessions every 2 s, then no step up for 6 s. Slower lets a short link cost
+	// all of its sessions, faster takes back what noisy readings ask for; tried from 0.5 to 3 s and 1 to 10 s.
 	for n := (len(l.sess) + 1) / 2; n > 0 && excess > 0; n-- {
 		s := l.pick(func(s *sess) float64 {
-			if s.wantRung <= s.group.Floor {
-				return 0
-			}
-			gain := (s.group.rates[s.wantRung] - s.group.rates[s.wantRung-1]) / s.group.Utility
-			if s.wantRung > f.rungFor(s, s.holder, 0) {
-				gain *= 4
-			}
-			return gain
+			below := max(s.wantRung-1, s.group.Floor)
+			return (s.group.rates[s.wantRung] - s.group.rates[below]) / s.group.Utility
 		})
 		if s == nil {
 			return
 		}
-		// A step that takes more than the excess falls by chance, so that all fronts together take about that.
 		to := min(s.wantRung-1, f.rungFor(s, s.holder, 0))
 		less := s.group.rates[s.wantRung] - s.group.rates[to]
-		if less > excess && f.chance() > excess/less {
+		if !f.takes(less, excess) {
 			return
 		}
 		excess -= less
-		f.step(s, to-s.wantRung)
+		f.step(s, to)
 		l.down, l.up = f.now+2, f.now+6
 	}
 }
 
 // raise steps one playing session of a server up when link and uplink have room.
 func (f *Front) raise(sv *server) {
-	if !sv.link.fresh && !sv.uplink.fresh || len(sv.link.sess) == 0 || f.now < sv.link.up || f.now < sv.uplink.up ||
-		sv.state != Ready {
+	if !sv.link.fresh && !sv.uplink.fresh || f.now < max(sv.link.up, sv.uplink.up) || sv.state != Ready {
 		return
 	}
 	room := f.room(sv) - free*sv.link.size
-	s := sv.link.pick(func(s *sess) float64 {
-		if s.wantRung >= s.best || s.ends > 0 && s.ends < f.now+3 || f.now-s.switched < 8 {
-			return 0
+	rise := func(s *sess) (to int, more float64) {
+		for to = f.rungFor(s, sv, 0); to > s.wantRung; to-- {
+			if more = s.group.rates[to] - s.group.rates[s.wantRung]; more <= room {
+				return to, more
+			}
 		}
-		more := s.group.rates[s.wantRung+1] - s.group.rates[s.wantRung]
-		if more > room || f.rungFor(s, sv, 0) <= s.wantRung {
+		return to, 0
+	}
+	s := sv.link.pick(func(s *sess) float64 {
+		_, more := rise(s)
+		if more == 0 || s.ends > 0 && s.ends < f.now+3 || f.now-s.switched < 8 {
 			return 0
 		}
 		return s.group.Utility / more
@@ -839,19 +732,11 @@
 	if s == nil {
 		return
 	}
-	// Other fronts see the same room: a step beyond this front's part of it falls by chance.
 	own := sv.link.asks(false)
-	part := room * own / (own + f.others(sv.link))
-	to := f.rungFor(s, sv, 0)
-	for s.group.rates[to]-s.group.rates[s.wantRung] > room {
-		to--
-	}
-	more := s.group.rates[to] - s.group.rates[s.wantRung]
-	if more > part && f.chance() > part/more {
-		return
+	if to, more := rise(s); f.takes(more, room*own/(own+f.others(sv.link))) {
+		f.step(s, to)
+		sv.link.up = f.now + 1
 	}
-	f.step(s, to-s.wantRung)
-	sv.link.up = f.now + 1
 }
 
 // free is what new sessions and steps up leave of a link for noise and for what other fronts send meanwhile.
@@ -863,7 +748,7 @@
 		f.target(sv.uplink, sv)-sv.uplink.asks(false)-f.others(sv.uplink))
 }
 
-// least is what a link would be asked over its target with all sessions at their lowest rungs, one more among them.
+// least is what a link is asked over its target with all sessions, one more among them, at their lowest rungs.
 func (f *Front) least(l *link, sv *server, s *sess) float64 {
 	f.pool()
 	sum := s.group.rates[s.group.Floor]
@@ -887,15 +772,15 @@
 // Settle emits the difference between the wanted state and the present one. Nothing else emits acts.
 func (f *Front) Settle() {
 	for _, s := range f.touched {
-		if s.answer == over {
+		switch s.answer {
+		case over:
 			continue
+		case busy:
+			f.acts.BusyReply(s.id, f.advice)
+		case tornDown:
+			f.acts.TearDown(s.id)
 		}
 		if s.answer != none {
-			if s.answer == busy {
-				f.acts.BusyReply(s.id, f.advice)
-			} else {
-				f.acts.TearDown(s.id)
-			}
 			s.answer = over
 			delete(f.sess, s.id)
 			continue
--- /dev/null
+++ b/choice/state.go
@@ -0,0 +1,95 @@
+// Types and look-ups of the module's state. Nothing is decided here.
+
+package choice
+
+import (
+	"cmp"
+	"slices"
+)
+
+type group struct {
+	ServiceGroup
+	rates   []float64
+	premium int // 1 where its utility is above the lowest, else 0
+}
+
+type seat struct {
+	title string
+	group int
+}
+
+type server struct {
+	id             ServerID
+	zone, cell     int
+	state          Lifecycle
+	born           float64 // counts as cold from here; 0 is long ago
+	link, uplink   *link
+	life           gaps    // between signs of life
+	heard          float64 // last sign of life
+	aside          bool    // gets no sessions until it answers probes
+	good           int     // probes answered in a row while aside
+	probing, probe bool    // a probe is out, is wanted
+	left, probeAt  float64 // set aside when; next probe while aside
+	full           float64 // full until
+	slot, used     float64 // the slot it last had a SETUP in while cold, and how many
+}
+
+// sess is a session from its request to its end.
+type sess struct {
+	id                        SessID
+	group                     *group
+	seat                      seat
+	start, span, best         int
+	asked, setupTimeout, ends float64 // ends is expected; 0 is not told
+	switched                  float64
+	holder                    *server
+	tried                     []*server
+	sent                      int  // SETUPs
+	out, plays, mayRan        bool // a SETUP is out; it plays; an earlier SETUP may have run
+	rung                      int  // in force
+	wantRung                  int
+	wantOut                   bool // a SETUP to holder is wanted
+	answer                    answer
+	awaits                    []*server // probes out that it waits for
+	looked                    bool      // it has waited
+}
+
+type answer int
+
+const none, busy, tornDown, over answer = 0, 1, 2, 3
+
+func byID(s *server, id ServerID) int { return cmp.Compare(s.id, id) }
+
+func (f *Front) server(id ServerID) *server {
+	if i, found := slices.BinarySearchFunc(f.servers, id, byID); found {
+		return f.servers[i]
+	}
+	return nil
+}
+
+// asks is what this front's sessions ask of a link at their wanted rungs: all, or the premium groups only.
+func (l *link) asks(premium bool) (sum float64) {
+	for _, s := range l.sess {
+		if !premium || s.group.premium == 1 {
+			sum += s.group.rates[s.wantRung]
+		}
+	}
+	return sum
+}
+
+// pick is the session on a link that weighs most, nil where none weighs more than 0.
+func (l *link) pick(weigh func(s *sess) float64) (best *sess) {
+	most := 0.0
+	for _, s := range l.sess {
+		if w := weigh(s); s.plays && s.wantRung == s.rung && w > most {
+			best, most = s, w
+		}
+	}
+	return best
+}
+
+// chance is a multiply-with-carry generator's next number in [0, 1).
+func (f *Front) chance() float64 {
+	f.mwc = 4294957665*(f.mwc&0xffffffff) + f.mwc>>32
+	return float64(uint32(f.mwc)) / (1 << 32)
+}
