Probe one unheard holder before placing; servers set aside as requests want them

Cause: each front looked at two holders and probed each server set aside at a pace of its own, so that probes grew with the fronts. Change: the likeliest holder alone, once a request, where unheard of for 5 s; one set aside only as a request wants it.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -9,7 +9,7 @@
 //  3. silence: a server unusually silent is probed, set aside, and returns after it answers probes
 //  4. again:   further SETUPs within the start target, the ration and the terms of paid groups
 //  5. warming: a cold server gets SETUPs in this front's slots only, and counts at its warm share
-//  6. look:    likely holders of which nothing was heard lately are probed before a session is placed
+//  6. look:    the likeliest holder is probed before a session is placed if nothing was heard of it lately
 package choice
 
 import (
@@ -27,7 +27,7 @@
 
 	cells, racks, fronts, me, zone, most int
 
-	fleet, lines, perPlace float64 // all links, all uplinks together; link for each place, 0 before the first list
+	fleet, lines, perPlace float64 // all links, all uplinks; a place of a link, 0 before the first list
 	lag, every, advice     float64 // of notes, between load notes, on coming back
 	slot, warmUp, coldest  float64 // a cold server's slot; its warm-up and first share
 	near                   float64 // what a holder in the own zone is ahead by
@@ -176,16 +176,19 @@
 
 // answered places the sessions that waited for a server's probe, or for longer than a moment.
 func (f *Front) answered() {
+	var ready []*sess
 	f.waiting = slices.DeleteFunc(f.waiting, func(s *sess) bool {
-		out := slices.ContainsFunc(s.awaits, func(o *server) bool { return o.probe || o.probing })
-		if out && f.now-s.asked < 0.1 {
+		if (s.awaits.probe || s.awaits.probing) && f.now-s.asked < 0.1 {
 			return false
 		}
+		ready = append(ready, s)
+		return true
+	})
+	for _, s := range ready {
 		if s.answer == none {
 			f.place(s)
 		}
-		return true
-	})
+	}
 }
 
 func (f *Front) Handed(r Request, id ServerID) {
@@ -361,8 +364,15 @@
 	var list []holder
 	top, floor := s.group.rates[s.best], s.group.rates[s.group.Floor]
 	for _, sv := range f.servers {
-		if (sv.cell-s.start+f.cells)%f.cells >= s.span || sv.state != Ready || sv.aside || f.now < sv.full ||
-			!f.open(sv) || slices.Contains(s.tried, sv) {
+		if (sv.cell-s.start+f.cells)%f.cells >= s.span || sv.state != Ready {
+			continue
+		}
+		// One set aside is probed as requests want it, sparser the longer it lasts: among many fronts a pace of
+		// their own would cost more probes than there are requests; 4 s is what a return may be missed by.
+		if sv.aside && f.now >= sv.probeAt {
+			sv.probe, sv.probeAt = true, f.now+max(1, min(4, (f.now-sv.left)/3))
+		}
+		if sv.aside || f.now < sv.full || !f.open(sv) || slices.Contains(s.tried, sv) {
 			continue
 		}
 		_, a := f.pressure(sv.link, sv, s, 0)
@@ -380,16 +390,11 @@
 		list = append(list, holder{sv, room, shut})
 	}
 	slices.SortStableFunc(list, func(a, b holder) int { return cmp.Compare(b.room, a.room) })
-	// The two likeliest are probed first where nothing was heard of them for two load notes' time: among many
-	// fronts each knows few links. Tried 1 to 3 and 2 to 12 s; it costs a probe's price and work, and a moment.
+	// The likeliest is probed first where nothing was heard of it lately: among many fronts each knows few links.
+	// A second and third probe cost what they gained; tried 2 to 20 s, of which 5 is a load note's time and lag.
 	if f.probes && s.sent == 0 && !s.looked && len(list) > 1 && s.setupTimeout-f.now > 1 {
-		s.looked = true
-		for _, h := range list[:2] {
-			if f.now-h.sv.link.seen > 10 {
-				h.sv.probe, s.awaits = true, append(s.awaits, h.sv)
-			}
-		}
-		if len(s.awaits) > 0 {
+		if sv := list[0].sv; f.now-sv.link.seen > 5 {
+			sv.probe, s.looked, s.awaits = true, true, sv
 			f.waiting = append(f.waiting, s)
 			return
 		}
@@ -653,14 +658,7 @@
 
 // watch probes a server whose silence is unusual given the gaps before, and now and then one set aside.
 func (f *Front) watch(sv *server) {
-	if !f.probes || sv.probing || sv.state != Ready {
-		return
-	}
-	if sv.aside {
-		// Sparser the longer it lasts, as probes have a price; 4 s is what a return may be missed by.
-		if f.now >= sv.probeAt {
-			sv.probe, sv.probeAt = true, f.now+max(1, min(4, (f.now-sv.left)/3))
-		}
+	if !f.probes || sv.probing || sv.aside || sv.state != Ready {
 		return
 	}
 	// Only where sessions make it speak. Four spreads: one gap in some fifty; three periods: late reports.
--- a/choice/state.go
+++ b/choice/state.go
@@ -50,8 +50,8 @@
 	wantRung                  int
 	wantOut                   bool // a SETUP to holder is wanted
 	answer                    answer
-	awaits                    []*server // probes out that it waits for
-	looked                    bool      // it has waited
+	awaits                    *server // its probe is waited for
+	looked                    bool    // it has waited
 }
 
 type answer int
