Capped readings raise what is known of a link; a reading weighs 0.8

It now counts where it raises what is known. And on the grown ones each reading is mostly of a new state.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -529,8 +529,9 @@
 }
 
 func (f *Front) report(sv *server, r Report, lag float64) {
-	// A capped figure near its cap may, with its noise, stand for any excess.
-	if r.Link >= 0 && (!r.Capped || r.Link < 0.9) {
+	// A capped figure near its cap may, with its noise, stand for any excess: it counts where it raises what is known.
+	known := sv.link.asks(false) + f.others(sv.link)
+	if r.Link >= 0 && (!r.Capped || r.Link < 0.9 || r.Link*sv.link.size > known) {
 		f.hear(sv.link, r.Link, lag)
 	}
 	if r.Uplink >= 0 {
@@ -557,7 +558,7 @@
 	if r := max(x*l.size-own, 0); l.read == 0 {
 		l.rest = r
 	} else {
-		l.rest += (r - l.rest) * 0.6 // reports are noisy; two count for most of it
+		l.rest += (r - l.rest) * 0.8 // reports are noisy, but each is of its own time; tried 0.6 to 1
 	}
 	l.read, l.fresh = f.now, true
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -287,3 +287,18 @@
 		}
 	}
 }
+
+// A capped reading near its cap tells that a link is full, but not that it is less than was known.
+func TestACappedReadingOnlyRaisesWhatIsKnown(t *testing.T) {
+	m := alone(func(s *StartFigures) { s.Fronts = 50 })
+	s := m.f.server(10)
+	m.f.report(s, Report{Link: 0.98, Capped: true, Uplink: -1}, 0)
+	if x := m.f.others(s.link) / s.link.size; x < 0.9 {
+		t.Errorf("a link told full is known at %.2f", x)
+	}
+	m.f.hear(s.link, 1.6, 0)
+	m.f.report(s, Report{Link: 0.98, Capped: true, Uplink: -1}, 0)
+	if x := m.f.others(s.link) / s.link.size; x < 1.2 {
+		t.Errorf("a link known over full is lowered to %.2f by a capped reading", x)
+	}
+}
