--- a/choice/choice.go
+++ b/choice/choice.go
@@ -32,7 +32,7 @@
 	slot, warmUp, coldest  float64 // a cold server's slot; its warm-up and first share
 	near                   float64 // what a holder in the own zone is ahead by
 	spare, share, window   float64 // the ration of further SETUPs
-	fullAt                 float64 // of the link asked, at which servers answer full; -1 is never
+	fullAt, mark           float64 // link load at which servers answer full, -1 is never; the target over a link's size
 	probes, half           bool    // probes are allowed; half of each slot stays shut
 
 	servers        []*server        // by id; emptied of those gone once no session is left there
@@ -107,6 +107,12 @@
 	for range f.racks {
 		f.uplinks = append(f.uplinks, &link{told: s.UplinkMean, size: s.UplinkMean, kind: 1})
 	}
+	// Coarse rungs come to rest below the target by themselves, so it lies near the size; of 0.78 to 1.05 tried. What
+	// others send is known late, the more of them the later, unless servers turn away the excess; 0.08 of 0 to 0.16.
+	f.mark = 0.97
+	if s.FullAt == 0 {
+		f.mark -= 0.08 * math.Pow(1-1/float64(f.fronts), 3)
+	}
 	// Where crossing zones has a price, a tenth of a session settles near ties; more costs room than it saves.
 	if s.CrossZonePrice > 0 {
 		f.near = 0.1
@@ -253,16 +259,12 @@
 	l.smoothed = f.now
 }
 
-// mark is the target over the told size. Coarse rungs come to rest below the target by themselves; of 0.78 to
-// 1.05 tried, less leaves links empty and more makes overloaded ones short.
-const mark = 0.97
-
 // target is a mark below a link's size, times its warm share where it was not read since its server started.
 func (f *Front) target(l *link, sv *server) float64 {
 	if sv != nil && l == sv.link && l.read <= sv.born {
-		return mark * l.size * f.warm(sv)
+		return f.mark * l.size * f.warm(sv)
 	}
-	return mark * l.size
+	return f.mark * l.size
 }
 
 // pool sums what all own sessions ask, at their top rates and at their rungs, once an instant.
@@ -529,7 +531,7 @@
 }
 
 func (f *Front) report(sv *server, r Report, lag float64) {
-	// A capped figure near its cap may, with its noise, stand for any excess: it counts where it raises what is known.
+	// A capped figure near its cap may, with its noise, stand for any excess: it counts where it tells of more.
 	known := sv.link.asks(false) + f.others(sv.link)
 	if r.Link >= 0 && (!r.Capped || r.Link < 0.9 || r.Link*sv.link.size > known) {
 		f.hear(sv.link, r.Link, lag)
