Others' demand grows with the front's own since the reading

Cause: readings of some seconds ago tell of empty links, and among many fronts no link shows the crowd; told from short links by full answers everywhere at once, with nothing in any record. Change: what others ask is raised by the growth of all own sessions' top rates since the reading, eight added on both sides, at most double. Steps up with hysteresis (1.15, 1.3) tried: not kept. Types and book-keeping moved to choice/state.go; no decision there.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -4,7 +4,7 @@
 // The interface is in api.go. Instances share nothing, and use no clock or chance but what they are handed.
 //
 // Mechanisms beside the design (docs/design.md says when each acts):
-//  1. others:  other fronts' demand on a link, by load reports, short-delivery notes, full answers
+//  1. others:  other fronts' demand on a link, by loads told, short notes, full answers, own growth since
 //  2. crush:   demand ahead of its smoothed figure counts; premium's lead is bounded; lowest rungs may fit
 //  3. silence: a server unusually silent is probed, set aside, and returns after it answers probes
 //  4. again:   further SETUPs within the start target, the ration and the terms of paid groups
@@ -32,7 +32,7 @@
 	slot, warmUp, coldest  float64 // a cold server's slot; its warm-up and first share
 	near                   float64 // what a holder in the own zone is ahead by
 	spare, share, window   float64 // the ration of further SETUPs
-	fullAt, mark           float64 // link load at which servers answer full, -1 is never; the target over a link's size
+	fullAt, mark           float64 // load at which servers answer full, -1 is never; target over size
 	probes, half           bool    // probes are allowed; half of each slot stays shut
 
 	servers        []*server        // by id; emptied of those gone once no session is left there
@@ -44,9 +44,10 @@
 	taken, further []float64        // requests and further SETUPs, when; emptied past the ration's window
 	nextDue        float64          // the wake-up that is set
 	usual          [2]float64       // mean load of links and of uplinks by all readings; 0 is none yet
+	usualAt        float64          // top rates of all own sessions meanwhile
 	pooled         float64          // when tops and asks were summed
 	tops, rungs    [2]float64       // of all own sessions: top rates and rung rates; others, premium
-	floors         float64          // their lowest rungs' rates
+	all, floors    float64          // their top rates, their lowest rungs' rates
 	fraction       float64          // what sessions play at over their top rates
 }
 
@@ -58,6 +59,7 @@
 	smoothed     float64    // when
 	lift, lifted float64    // what short-delivery notes lift demand to, and when
 	rest, read   float64    // what other fronts asked at the last reading, and when; 0 is never
+	at           float64    // top rates of all own sessions at that reading
 	past         [8]float64 // rung rates asked at the last ticks, newest first
 	load, seen   float64    // what a server last said, and when
 	share, noted float64    // delivered when it was last noted short, and when
@@ -107,8 +109,9 @@
 	for range f.racks {
 		f.uplinks = append(f.uplinks, &link{told: s.UplinkMean, size: s.UplinkMean, kind: 1})
 	}
-	// Coarse rungs come to rest below the target by themselves, so it lies near the size; of 0.78 to 1.05 tried. What
-	// others send is known late, the more of them the later, unless servers turn away the excess; 0.08 of 0 to 0.16.
+	// Coarse rungs come to rest below the target by themselves, so it is near the size; of 0.78 to 1.05
+	// tried. What others send is known late, the more of them the later, unless servers turn the excess away;
+	// 0.08 of 0 to 0.16 tried.
 	f.mark = 0.97
 	if s.FullAt == 0 {
 		f.mark -= 0.08 * math.Pow(1-1/float64(f.fronts), 3)
@@ -217,32 +220,6 @@
 	return s
 }
 
-// join puts a session on a server's link and uplink and takes its seat.
-func (f *Front) join(s *sess, sv *server) {
-	f.smooth(sv.link)
-	f.smooth(sv.uplink)
-	s.holder = sv
-	sv.link.fresh, sv.uplink.fresh = true, true
-	sv.link.sess = append(sv.link.sess, s)
-	sv.uplink.sess = append(sv.uplink.sess, s)
-	f.seats[s.seat]++
-}
-
-func (f *Front) leave(s *sess) {
-	if s.holder == nil {
-		return
-	}
-	for _, l := range [2]*link{s.holder.link, s.holder.uplink} {
-		f.smooth(l)
-		l.fresh = true
-		l.sess = slices.DeleteFunc(l.sess, func(o *sess) bool { return o == s })
-	}
-	if f.seats[s.seat]--; f.seats[s.seat] <= 0 {
-		delete(f.seats, s.seat)
-	}
-	s.holder = nil
-}
-
 // smooth brings a link's demand up to now: top rates of the front's own sessions there, over ten seconds.
 func (f *Front) smooth(l *link) {
 	const window = 10 // the design's
@@ -281,11 +258,24 @@
 		}
 	}
 	one := f.groups[0].rates[len(f.groups[0].rates)-1] // a session at four tenths, for a front without any
-	f.fraction = (f.rungs[0] + f.rungs[1] + 0.4*one) / (f.tops[0] + f.tops[1] + one)
+	f.all = f.tops[0] + f.tops[1]
+	f.fraction = (f.rungs[0] + f.rungs[1] + 0.4*one) / (f.all + one)
 }
 
-// others is what other fronts ask of a link: what its last reading leaves beside the own sessions, which fades
-// into the usual load of such links, as sessions turn over within some 30 s.
+// surge is how much more viewers want than when readings were taken, as all own sessions show it: against a
+// crowd that comes faster than readings tell. Eight are added on both sides for chance. Viewers who only lean
+// to this front pass for a crowd; then it plays lower than it could.
+func (f *Front) surge(then float64) float64 {
+	f.pool()
+	if then == 0 {
+		return 1
+	}
+	some := 8 * f.groups[0].rates[len(f.groups[0].rates)-1]
+	return min(max((f.all+some)/(then+some), 1), 2)
+}
+
+// others is what other fronts ask of a link: what its last reading leaves beside the own sessions, fading into
+// the usual load of such links, as sessions turn over within some 30 s.
 func (f *Front) others(l *link) float64 {
 	// Before the first reading half full and a bit, as most are; uplinks that are not reported go by the links.
 	usual := cmp.Or(f.usual[0], 0.6)
@@ -296,7 +286,7 @@
 	if l.read > 0 {
 		w = math.Exp((l.read - f.now) / 30)
 	}
-	return w*l.rest + (1-w)*usual*l.size*(1-1/float64(f.fronts))
+	return w*l.rest*f.surge(l.at) + (1-w)*usual*f.surge(f.usualAt)*l.size*(1-1/float64(f.fronts))
 }
 
 // warm is the share of its capacity that a server has reached.
@@ -318,7 +308,7 @@
 	o := f.others(l)
 	p, q := 0.0, 0.0 // premium's part of top rates and of rung rates
 	if f.tops[1] > 0 {
-		p, q = f.tops[1]/(f.tops[0]+f.tops[1]), f.rungs[1]/(f.rungs[0]+f.rungs[1])
+		p, q = f.tops[1]/f.all, f.rungs[1]/(f.rungs[0]+f.rungs[1])
 	}
 	d[0] += o / f.fraction * (1 - p)
 	d[1] += o / f.fraction * p
@@ -392,7 +382,7 @@
 		list = append(list, holder{sv, room, shut})
 	}
 	slices.SortStableFunc(list, func(a, b holder) int { return cmp.Compare(b.room, a.room) })
-	// The likeliest is probed first where nothing was heard of it lately: among many fronts each knows few links.
+	// The likeliest is probed first where nothing was heard of it lately: many fronts know few links each.
 	// A second and third probe cost what they gained; tried 2 to 20 s, of which 5 is a load note's time and lag.
 	if f.probes && s.sent == 0 && !s.looked && len(list) > 1 && s.setupTimeout-f.now > 1 {
 		if sv := list[0].sv; f.now-sv.link.seen > 5 {
@@ -546,6 +536,9 @@
 	l.load, l.seen = x, f.now
 	u := cmp.Or(f.usual[l.kind], 0.6)
 	f.usual[l.kind] = u + (x-u)/30 // some thirty readings make the usual load
+	f.pool()
+	f.usualAt = cmp.Or(f.usualAt, f.all)
+	f.usualAt += (f.all - f.usualAt) / 10
 	f.reckon(l, x, lag)
 }
 
@@ -562,7 +555,8 @@
 	} else {
 		l.rest += (r - l.rest) * 0.8 // reports are noisy, but each is of its own time; tried 0.6 to 1
 	}
-	l.read, l.fresh = f.now, true
+	f.pool()
+	l.read, l.fresh, l.at = f.now, true, f.all
 }
 
 // Short takes a note of the share of the rate delivered at a server; 0.98 and more means that it is over.
@@ -680,7 +674,7 @@
 // same note at once, together take about what there is.
 func (f *Front) takes(step, part float64) bool { return step <= part || f.chance() < part/step }
 
-// lower steps playing sessions down while what is asked passes the target, each straight to the design's rung.
+// lower steps playing sessions down while what is asked passes the target, straight to the design's rung.
 func (f *Front) lower(l *link, sv *server) {
 	own := l.asks(false)
 	all, t := own+f.others(l), f.target(l, sv)
@@ -749,7 +743,7 @@
 		f.target(sv.uplink, sv)-sv.uplink.asks(false)-f.others(sv.uplink))
 }
 
-// least is what a link is asked over its target with all sessions, one more among them, at their lowest rungs.
+// least is what a link is asked over its target with all sessions and one more at their lowest rungs.
 func (f *Front) least(l *link, sv *server, s *sess) float64 {
 	f.pool()
 	sum := s.group.rates[s.group.Floor]
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -213,7 +213,7 @@
 	}
 }
 
-// Many fronts: what others ask shows in a link's load alone, so that counts, over the fraction sessions play at.
+// Among many fronts what others ask shows in a link's load alone: it counts, over the fraction sessions play at.
 func TestOthersDemandIsReckonedFromALinksLoad(t *testing.T) {
 	for _, fronts := range []int{2, 300} {
 		m := alone(func(s *StartFigures) { s.Fronts = fronts })
@@ -233,7 +233,7 @@
 	}
 }
 
-// Many fronts that hear the same late note: their steps together take about the excess, not all that they hold.
+// Many fronts that hear the same late note: their steps together take about the excess, not all they hold.
 func TestFrontsThatHearTheSameStepByChance(t *testing.T) {
 	stepped, n := 0, 200
 	for i := range n {
@@ -276,7 +276,7 @@
 	}
 }
 
-// A link lately told not full whose server delivers short, with none beside it to contradict: the uplink is short.
+// A link lately told not full whose server delivers short, with none beside it to contradict: its uplink is.
 func TestShortOnALinkNotFullIsItsUplinks(t *testing.T) {
 	for load, want := range map[float64]bool{0.5: true, 1.1: false} {
 		m := alone(nil)
@@ -302,3 +302,27 @@
 		t.Errorf("a link known over full is lowered to %.2f by a capped reading", x)
 	}
 }
+
+// A crowd comes faster than readings tell: others' demand grows with the front's own, at most double.
+func TestACrowdRaisesOthersDemandBetweenReadings(t *testing.T) {
+	m := alone(func(s *StartFigures) { s.Fronts = 50 })
+	hand := func(n int, name string) {
+		for i := range n {
+			r := plain(1)
+			r.ID = SessID(name + string(rune('a'+i)))
+			m.f.Handed(r, 12)
+		}
+	}
+	hand(4, "few")
+	l := m.f.server(10).link
+	m.f.hear(l, 0.4, 0)
+	m.w.now += 0.5
+	m.f.At(m.w.now)
+	before := m.f.others(l)
+	hand(12, "crowd")
+	m.w.now += 0.5
+	m.f.At(m.w.now)
+	if after := m.f.others(l); after < 1.3*before || after > 2.1*before {
+		t.Errorf("others ask %.0f, then %.0f with four times the own sessions", before, after)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -1,4 +1,4 @@
-// Types and look-ups of the module's state. Nothing is decided here.
+// Types, look-ups and book-keeping of the module's state. Nothing is decided here.
 
 package choice
 
@@ -93,3 +93,29 @@
 	f.mwc = 4294957665*(f.mwc&0xffffffff) + f.mwc>>32
 	return float64(uint32(f.mwc)) / (1 << 32)
 }
+
+// join puts a session on a server's link and uplink and takes its seat.
+func (f *Front) join(s *sess, sv *server) {
+	f.smooth(sv.link)
+	f.smooth(sv.uplink)
+	s.holder = sv
+	sv.link.fresh, sv.uplink.fresh = true, true
+	sv.link.sess = append(sv.link.sess, s)
+	sv.uplink.sess = append(sv.uplink.sess, s)
+	f.seats[s.seat]++
+}
+
+func (f *Front) leave(s *sess) {
+	if s.holder == nil {
+		return
+	}
+	for _, l := range [2]*link{s.holder.link, s.holder.uplink} {
+		f.smooth(l)
+		l.fresh = true
+		l.sess = slices.DeleteFunc(l.sess, func(o *sess) bool { return o == s })
+	}
+	if f.seats[s.seat]--; f.seats[s.seat] <= 0 {
+		delete(f.seats, s.seat)
+	}
+	s.holder = nil
+}
