--- a/choice/choice.go
+++ b/choice/choice.go
@@ -43,6 +43,7 @@
 	touched        []*sess          // wanted state may differ from the present; emptied by Settle
 	taken, further []float64        // requests and further SETUPs, when; emptied past the ration's window
 	nextDue        float64          // the wake-up that is set
+	settled        float64          // started so long ago that its own sessions have come back, some 20 s
 	usual          [2]float64       // mean load of links and of uplinks by all readings; 0 is none yet
 	usualAt        float64          // top rates of all own sessions meanwhile
 	pooled         float64          // when tops and asks were summed
@@ -86,7 +87,7 @@
 		cells: max(s.Cells, 1), racks: max(s.Racks, 1), fronts: max(s.Fronts, 1), me: s.Me, zone: s.Zone,
 		most: max(s.MostSetups, 1), lag: s.NoteLag, every: s.NoteEvery, advice: s.Advice, warmUp: s.WarmUp,
 		coldest: s.ColdShare, probes: s.Probes, spare: s.SpareSetups, share: s.SetupShare,
-		fullAt: cmp.Or(s.FullAt, -1), window: s.SetupWindow,
+		fullAt: cmp.Or(s.FullAt, -1), window: s.SetupWindow, settled: now + 20,
 		sess: map[SessID]*sess{}, seats: map[seat]int{}}
 	f.lines = max(s.UplinkMean*float64(f.racks), 1)
 	if len(f.places) == 0 {
@@ -264,17 +265,17 @@
 
 // surge is how much more viewers want than when readings were taken, as all own sessions show it: against a
 // crowd that comes faster than readings tell. Eight are added on both sides for chance. Viewers who only lean
-// to this front pass for a crowd; then it plays lower than it could.
+// to this front pass for a crowd; then it plays lower than it could. A front just started fills of itself.
 func (f *Front) surge(then float64) float64 {
 	f.pool()
-	if then == 0 {
+	if then == 0 || f.now < f.settled {
 		return 1
 	}
 	some := 8 * f.groups[0].rates[len(f.groups[0].rates)-1]
 	return min(max((f.all+some)/(then+some), 1), 2)
 }
 
-// others is what other fronts ask of a link: what its last reading leaves beside the own sessions, fading into
+// others is what other fronts ask of a link: what its last reading leaves beside the own ones, fading into
 // the usual load of such links, as sessions turn over within some 30 s.
 func (f *Front) others(l *link) float64 {
 	// Before the first reading half full and a bit, as most are; uplinks that are not reported go by the links.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -213,7 +213,7 @@
 	}
 }
 
-// Among many fronts what others ask shows in a link's load alone: it counts, over the fraction sessions play at.
+// Among many fronts what others ask shows in a link's load alone, over the fraction sessions play at.
 func TestOthersDemandIsReckonedFromALinksLoad(t *testing.T) {
 	for _, fronts := range []int{2, 300} {
 		m := alone(func(s *StartFigures) { s.Fronts = fronts })
@@ -313,6 +313,8 @@
 			m.f.Handed(r, 12)
 		}
 	}
+	m.w.now += 21 // a front just started fills of itself
+	m.f.At(m.w.now)
 	hand(4, "few")
 	l := m.f.server(10).link
 	m.f.hear(l, 0.4, 0)
