--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,7 +1,8 @@
 // Package choice decides for one front which server holds a session, at which rung, or turns it away.
 // How it is called: New once, then At with the clock and one method an event, in order; Settle ends a batch.
 // Events change the wanted state; Settle alone works out the difference to the present and emits it as Acts.
-// The interface is in api.go. Instances share nothing, and use no clock or chance but what they are handed.
+// The interface is in api.go, types and book-keeping in state.go. Instances share nothing, and use no clock
+// or chance but what they are handed.
 //
 // Mechanisms beside the design (docs/design.md says when each acts):
 //  1. others:  other fronts' demand on a link, by loads told, short notes, full answers, own growth since
