Read and write RTSP messages and interleaved frames within bounds

Need: the running front speaks RTSP 1.0 with interleaved RTP to viewers and boxes; nothing in the repository did yet.

Frames are handed out of the read buffer without a copy.

--- /dev/null
+++ b/internal/rtsp/conn.go
@@ -0,0 +1,135 @@
+package rtsp
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+)
+
+var errBufferFull = bufio.ErrBufferFull
+
+// Conn reads messages and frames from a connection. It is read by one goroutine; writing is its owner's affair,
+// who appends Messages and frames to what it writes.
+type Conn struct {
+	net.Conn
+	br     *bufio.Reader
+	bounds Bounds
+	frame  []byte
+}
+
+// NewConn reads from c within bounds.
+func NewConn(c net.Conn, bounds Bounds) *Conn {
+	bounds = bounds.orUsual()
+	return &Conn{Conn: c, br: bufio.NewReaderSize(c, bounds.Line+2), bounds: bounds}
+}
+
+// Frame is an interleaved frame (RFC 2326, section 10.12). Whole holds its four bytes of header and its payload,
+// and is valid until the next call of Next only.
+type Frame struct {
+	Channel byte
+	Whole   []byte
+}
+
+// Payload is the frame without its header.
+func (f Frame) Payload() []byte { return f.Whole[4:] }
+
+// AppendFrame appends a frame as it goes on the wire. The payload is at most 65535 bytes long.
+func AppendFrame(b []byte, channel byte, payload []byte) []byte {
+	b = append(b, '$', channel, byte(len(payload)>>8), byte(len(payload)))
+	return append(b, payload...)
+}
+
+// Next reads a message, or, where that is nil, a frame. Its errors are io.EOF between messages,
+// io.ErrUnexpectedEOF within one, *MalformedError, or the connection's. After an error nothing more can be read.
+func (c *Conn) Next() (*Message, Frame, error) {
+	for {
+		first, err := c.br.Peek(1)
+		if err != nil {
+			return nil, Frame{}, err
+		}
+		if first[0] == '$' {
+			f, err := c.readFrame()
+			return nil, f, err
+		}
+		line, err := c.readLine()
+		if err == errLine {
+			return nil, Frame{}, malformed(URITooLong, "a start line of over %d bytes", c.bounds.Line)
+		}
+		if err != nil {
+			return nil, Frame{}, err
+		}
+		if line == "" { // empty lines between messages are skipped, as section 4 asks
+			continue
+		}
+		m, err := c.readMessage(line)
+		return m, Frame{}, err
+	}
+}
+
+func (c *Conn) readFrame() (Frame, error) {
+	head, err := c.br.Peek(4)
+	if err != nil {
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
+		}
+		return Frame{}, err
+	}
+	n := int(binary.BigEndian.Uint16(head[2:]))
+	if n > c.bounds.Frame {
+		return Frame{}, malformed(0, "a frame of %d bytes", n)
+	}
+	f := Frame{Channel: head[1]}
+	// Most frames lie whole in the buffer and are not copied.
+	if n+4 <= c.br.Size() {
+		whole, err := c.br.Peek(n + 4)
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
+			}
+			return Frame{}, err
+		}
+		f.Whole = whole
+		_, err = c.br.Discard(n + 4)
+		return f, err
+	}
+	if cap(c.frame) < n+4 {
+		c.frame = make([]byte, n+4)
+	}
+	c.frame = c.frame[:n+4]
+	if _, err := io.ReadFull(c.br, c.frame); err != nil {
+		return Frame{}, io.ErrUnexpectedEOF
+	}
+	f.Whole = c.frame
+	return f, nil
+}
+
+// Buffered is how many bytes were received and not yet read.
+func (c *Conn) Buffered() int { return c.br.Buffered() }
+
+// RoundTrip sends a request and waits for its response; frames and requests meanwhile go to other, which may be
+// nil. It is for callers that do one thing at a time: tools, stand-ins and tests.
+func (c *Conn) RoundTrip(req *Message, timeout time.Duration, other func(*Message, Frame)) (*Message, error) {
+	if err := c.SetDeadline(time.Now().Add(timeout)); err != nil {
+		return nil, err
+	}
+	defer c.SetDeadline(time.Time{})
+	if _, err := c.Write(req.Append(nil)); err != nil {
+		return nil, fmt.Errorf("sending %s: %w", req.Method, err)
+	}
+	for {
+		m, f, err := c.Next()
+		if err != nil {
+			return nil, fmt.Errorf("waiting for the answer to %s: %w", req.Method, err)
+		}
+		if m != nil && !m.IsRequest() && m.CSeq() == req.CSeq() {
+			return m, nil
+		}
+		if other != nil {
+			other(m, f)
+		}
+	}
+}
--- /dev/null
+++ b/internal/rtsp/message.go
@@ -0,0 +1,367 @@
+// Package rtsp reads and writes RTSP 1.0 (RFC 2326) on a connection: requests and responses in both directions,
+// with the `$` frames of section 10.12 between them. It holds no policy: what to answer is its callers' affair.
+package rtsp
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/textproto"
+	"sort"
+	"strconv"
+	"strings"
+)
+
+// The methods of RFC 2326, section 10.
+const (
+	Options      = "OPTIONS"
+	Describe     = "DESCRIBE"
+	Announce     = "ANNOUNCE"
+	Setup        = "SETUP"
+	Play         = "PLAY"
+	Pause        = "PAUSE"
+	Record       = "RECORD"
+	Redirect     = "REDIRECT"
+	TearDown     = "TEARDOWN"
+	GetParameter = "GET_PARAMETER"
+	SetParameter = "SET_PARAMETER"
+)
+
+// The status codes that rainhaven sends or tells apart (RFC 2326, section 11.3 and the HTTP ones it takes over).
+const (
+	OK                     = 200
+	BadRequest             = 400
+	NotFound               = 404
+	MethodNotAllowed       = 405
+	TooLarge               = 413
+	URITooLong             = 414
+	ParameterNotUnderstood = 451
+	NotEnoughBandwidth     = 453
+	SessionNotFound        = 454
+	NotValidInThisState    = 455
+	HeaderFieldNotValid    = 456
+	InvalidRange           = 457
+	AggregateNotAllowed    = 459
+	UnsupportedTransport   = 461
+	InternalError          = 500
+	NotImplemented         = 501
+	ServiceUnavailable     = 503
+	GatewayTimeout         = 504
+	VersionNotSupported    = 505
+	OptionNotSupported     = 551
+)
+
+var reasons = map[int]string{
+	OK: "OK", BadRequest: "Bad Request", NotFound: "Not Found", MethodNotAllowed: "Method Not Allowed",
+	TooLarge: "Request Entity Too Large", URITooLong: "Request-URI Too Large",
+	ParameterNotUnderstood: "Parameter Not Understood", NotEnoughBandwidth: "Not Enough Bandwidth",
+	SessionNotFound: "Session Not Found", NotValidInThisState: "Method Not Valid In This State",
+	HeaderFieldNotValid: "Header Field Not Valid for Resource", InvalidRange: "Invalid Range",
+	AggregateNotAllowed: "Aggregate Operation Not Allowed", UnsupportedTransport: "Unsupported Transport",
+	InternalError: "Internal Server Error", NotImplemented: "Not Implemented",
+	ServiceUnavailable: "Service Unavailable", GatewayTimeout: "Gateway Time-out",
+	VersionNotSupported: "RTSP Version Not Supported", OptionNotSupported: "Option Not Supported",
+}
+
+// Reason is the phrase that goes with a status code.
+func Reason(status int) string {
+	if r, ok := reasons[status]; ok {
+		return r
+	}
+	return "Status " + strconv.Itoa(status)
+}
+
+// Header holds a message's header fields under their canonical names.
+type Header = textproto.MIMEHeader
+
+// Message is a request, when Method is set, or a response.
+type Message struct {
+	Method string // of a request, as received
+	URL    string // of a request, as received
+	Major  int    // of the version; 1 where written
+	Minor  int
+	Status int    // of a response
+	Reason string // of a response; Reason(Status) where empty
+	Header Header
+	Body   []byte
+}
+
+// Request makes a request without header fields.
+func Request(method, url string) *Message {
+	return &Message{Method: method, URL: url, Header: Header{}}
+}
+
+// Response makes the response to a request, with its CSeq.
+func Response(to *Message, status int) *Message {
+	m := &Message{Status: status, Header: Header{}}
+	if to != nil {
+		if c := to.Header.Get("Cseq"); c != "" {
+			m.Header["Cseq"] = []string{c}
+		}
+	}
+	return m
+}
+
+// IsRequest tells a request from a response.
+func (m *Message) IsRequest() bool { return m.Method != "" }
+
+// With sets a header field and returns the message.
+func (m *Message) With(name, value string) *Message {
+	m.Header.Set(name, value)
+	return m
+}
+
+// CSeq is the message's sequence number, -1 where it has none that can be read.
+func (m *Message) CSeq() int {
+	n, err := strconv.Atoi(strings.TrimSpace(m.Header.Get("Cseq")))
+	if err != nil || n < 0 {
+		return -1
+	}
+	return n
+}
+
+// Session is the id in the Session field, without its parameters; empty where there is none.
+func (m *Message) Session() string {
+	id, _, _ := strings.Cut(m.Header.Get("Session"), ";")
+	return strings.TrimSpace(id)
+}
+
+// names that RFC 2326 writes otherwise than net/textproto does.
+var written = map[string]string{"Cseq": "CSeq", "Rtp-Info": "RTP-Info", "Www-Authenticate": "WWW-Authenticate"}
+
+// Append appends the message as it goes on the wire. Header fields come in the order of their names.
+func (m *Message) Append(b []byte) []byte {
+	if m.IsRequest() {
+		b = fmt.Appendf(b, "%s %s RTSP/1.0\r\n", m.Method, m.URL)
+	} else {
+		reason := m.Reason
+		if reason == "" {
+			reason = Reason(m.Status)
+		}
+		b = fmt.Appendf(b, "RTSP/1.0 %d %s\r\n", m.Status, reason)
+	}
+	if c := m.Header.Get("Cseq"); c != "" {
+		b = fmt.Appendf(b, "CSeq: %s\r\n", c)
+	}
+	names := make([]string, 0, len(m.Header))
+	for name := range m.Header {
+		if name != "Cseq" && name != "Content-Length" {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		as := name
+		if w, ok := written[name]; ok {
+			as = w
+		}
+		for _, v := range m.Header[name] {
+			b = fmt.Appendf(b, "%s: %s\r\n", as, clean(v))
+		}
+	}
+	if len(m.Body) > 0 {
+		b = fmt.Appendf(b, "Content-Length: %d\r\n", len(m.Body))
+	}
+	b = append(b, "\r\n"...)
+	return append(b, m.Body...)
+}
+
+// clean keeps a value that came from outside from starting a header line of its own.
+func clean(v string) string {
+	if strings.ContainsAny(v, "\r\n") {
+		return strings.NewReplacer("\r", " ", "\n", " ").Replace(v)
+	}
+	return v
+}
+
+// Bounds limits what is read. A zero field means the figure of Usual.
+type Bounds struct {
+	Line    int // bytes of a start or header line
+	Headers int // lines of a header
+	Body    int // bytes
+	Frame   int // bytes of an interleaved frame's payload, at most 65535
+}
+
+// Usual holds the limits in force where none are set: a line of 4 kB holds any URL that players make, 64 header
+// lines are three times what the fullest message of RFC 2326's examples has, and no description here passes 64 kB.
+var Usual = Bounds{Line: 4096, Headers: 64, Body: 64 << 10, Frame: 65535}
+
+func (b Bounds) orUsual() Bounds {
+	or := func(v *int, usual int) {
+		if *v <= 0 {
+			*v = usual
+		}
+	}
+	or(&b.Line, Usual.Line)
+	or(&b.Headers, Usual.Headers)
+	or(&b.Body, Usual.Body)
+	or(&b.Frame, Usual.Frame)
+	return b
+}
+
+// MalformedError tells what was wrong with input. Where Status is not 0 it may be answered before the connection
+// is closed; the rest of the input can't be made sense of.
+type MalformedError struct {
+	Status int
+	CSeq   string
+	What   string
+}
+
+func (e *MalformedError) Error() string { return "malformed RTSP: " + e.What }
+
+func malformed(status int, format string, args ...any) error {
+	return &MalformedError{Status: status, What: fmt.Sprintf(format, args...)}
+}
+
+// startLine reads a request line or a status line.
+func (m *Message) startLine(line string) error {
+	if v, rest, ok := strings.Cut(line, " "); ok && strings.HasPrefix(v, "RTSP/") {
+		if !m.version(v) {
+			return malformed(0, "version %.20q", v)
+		}
+		code, reason, _ := strings.Cut(rest, " ")
+		n, err := strconv.Atoi(code)
+		if err != nil || n < 100 || n > 999 {
+			return malformed(0, "status %.20q", code)
+		}
+		m.Status, m.Reason = n, reason
+		return nil
+	}
+	parts := strings.Split(line, " ")
+	if len(parts) != 3 {
+		return malformed(BadRequest, "start line %.40q", line)
+	}
+	if parts[0] == "" || len(parts[0]) > 32 || !token(parts[0]) {
+		return malformed(BadRequest, "method %.40q", parts[0])
+	}
+	if parts[1] == "" {
+		return malformed(BadRequest, "empty URL")
+	}
+	if !m.version(parts[2]) {
+		return malformed(BadRequest, "version %.20q", parts[2])
+	}
+	m.Method, m.URL = parts[0], parts[1]
+	return nil
+}
+
+func (m *Message) version(s string) bool {
+	s, ok := strings.CutPrefix(s, "RTSP/")
+	if !ok {
+		return false
+	}
+	major, minor, ok := strings.Cut(s, ".")
+	if !ok || len(major) != 1 || len(minor) != 1 || major[0] < '0' || major[0] > '9' || minor[0] < '0' || minor[0] > '9' {
+		return false
+	}
+	m.Major, m.Minor = int(major[0]-'0'), int(minor[0]-'0')
+	return true
+}
+
+// token tells whether s is made of RFC 2326's token characters.
+func token(s string) bool {
+	for i := 0; i < len(s); i++ {
+		c := s[i]
+		if c <= ' ' || c >= 0x7f || strings.IndexByte("()<>@,;:\\\"/[]?={}", c) >= 0 {
+			return false
+		}
+	}
+	return s != ""
+}
+
+// errLine is a line longer than the limit.
+var errLine = errors.New("line too long")
+
+// readLine reads a line without its end: CR LF, or LF alone as section 15.1 has receivers take it.
+func (c *Conn) readLine() (string, error) {
+	// The buffer is at least as long as the limit, so a full buffer without an end is too long a line.
+	line, err := c.br.ReadSlice('\n')
+	if len(line) > c.bounds.Line {
+		return "", errLine
+	}
+	if err != nil {
+		if errors.Is(err, errBufferFull) {
+			return "", errLine
+		}
+		if errors.Is(err, io.EOF) && len(line) > 0 {
+			err = io.ErrUnexpectedEOF
+		}
+		return "", err
+	}
+	n := len(line) - 1
+	if n > 0 && line[n-1] == '\r' {
+		n--
+	}
+	return string(line[:n]), nil
+}
+
+// readMessage reads a message whose start line is line.
+func (c *Conn) readMessage(line string) (*Message, error) {
+	m := &Message{Header: Header{}}
+	start := m.startLine(line)
+	if start != nil && start.(*MalformedError).Status == 0 {
+		return nil, start
+	}
+	fail := func(err error) error {
+		var bad *MalformedError
+		if errors.As(err, &bad) {
+			bad.CSeq = m.Header.Get("Cseq")
+			if m.Status != 0 {
+				bad.Status = 0
+			}
+		}
+		return err
+	}
+	last := ""
+	for n := 0; ; n++ {
+		line, err := c.readLine()
+		if err == errLine {
+			return nil, fail(malformed(TooLarge, "a header line of over %d bytes", c.bounds.Line))
+		}
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
+			}
+			return nil, err
+		}
+		if line == "" {
+			break
+		}
+		if n >= c.bounds.Headers {
+			return nil, fail(malformed(TooLarge, "over %d header lines", c.bounds.Headers))
+		}
+		if line[0] == ' ' || line[0] == '\t' { // a folded line continues the field before
+			if last == "" {
+				return nil, fail(malformed(BadRequest, "a continued line before any field"))
+			}
+			v := m.Header[last]
+			if len(v[len(v)-1])+len(line) > c.bounds.Line {
+				return nil, fail(malformed(TooLarge, "a field of over %d bytes", c.bounds.Line))
+			}
+			v[len(v)-1] += " " + strings.TrimSpace(line)
+			continue
+		}
+		name, value, ok := strings.Cut(line, ":")
+		if name = strings.TrimRight(name, " \t"); !ok || !token(name) {
+			return nil, fail(malformed(BadRequest, "header line %.40q", line))
+		}
+		last = textproto.CanonicalMIMEHeaderKey(name)
+		m.Header[last] = append(m.Header[last], strings.TrimSpace(value))
+	}
+	if start != nil {
+		return nil, fail(start)
+	}
+	if v, ok := m.Header["Content-Length"]; ok {
+		n, err := strconv.Atoi(v[0])
+		if err != nil || n < 0 || len(v) > 1 {
+			return nil, fail(malformed(BadRequest, "Content-Length %.20q", v[0]))
+		}
+		if n > c.bounds.Body {
+			return nil, fail(malformed(TooLarge, "a body of %d bytes", n))
+		}
+		m.Body = make([]byte, n)
+		if _, err := io.ReadFull(c.br, m.Body); err != nil {
+			return nil, io.ErrUnexpectedEOF
+		}
+	}
+	return m, nil
+}
