Decide each session's life, what is heard of boxes, and connections kept, without I/O

Need: the front must carry out the module's acts on sockets; what is asked of a box when, what each late, doubled or missing answer means, and which connection is used again are decisions and belong under choice/.

The search found two faults while this was written: the first rung of a group with a floor, and an answer lost where a TEARDOWN was pipelined behind the SETUP.

--- /dev/null
+++ b/choice/pool/pool_test.go
@@ -0,0 +1,103 @@
+package pool
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+	"rainhaven/choice"
+)
+
+// A model of plain lists beside the keeper: bounds are kept, nothing is handed out twice, nothing stays behind.
+func TestKeeper(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		per := rapid.IntRange(1, 6).Draw(t, "per box")
+		k, now, serial := New(per), 0.0, Conn(0)
+		busy, idle := map[Conn]choice.ServerID{}, map[Conn]choice.ServerID{}
+		on := func(id choice.ServerID, of map[Conn]choice.ServerID) (n int) {
+			for _, b := range of {
+				if b == id {
+					n++
+				}
+			}
+			return n
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"use": func(t *rapid.T) {
+				id := choice.ServerID(rapid.IntRange(1, 3).Draw(t, "box"))
+				if c, ok := k.Take(id); ok {
+					if idle[c] != id {
+						t.Fatalf("connection %d is not idle at %d", c, id)
+					}
+					delete(idle, c)
+					busy[c] = id
+					return
+				}
+				if on(id, idle) > 0 {
+					t.Fatal("an idle connection was passed over")
+				}
+				ok := k.Open(id)
+				if ok != (on(id, busy) < per) {
+					t.Fatalf("%d of %d open, one more: %v", on(id, busy), per, ok)
+				}
+				if ok {
+					serial++
+					busy[serial] = id
+				}
+			},
+			"give back": func(t *rapid.T) {
+				for c := Conn(1); c <= serial; c++ {
+					if id, ok := busy[c]; ok {
+						delete(busy, c)
+						if k.Put(id, c, now) {
+							idle[c] = id
+						} else {
+							k.Closed(id, c)
+						}
+						return
+					}
+				}
+			},
+			"break": func(t *rapid.T) {
+				for c := Conn(1); c <= serial; c++ {
+					if id, ok := idle[c]; ok {
+						delete(idle, c)
+						k.Closed(id, c)
+						return
+					}
+				}
+			},
+			"time": func(t *rapid.T) {
+				now += rapid.Float64Range(0, 12).Draw(t, "dt")
+				for _, c := range k.Stale(now) {
+					id, ok := idle[c]
+					if !ok {
+						t.Fatalf("%d is stale and not idle", c)
+					}
+					delete(idle, c)
+					k.Closed(id, c)
+				}
+			},
+			"": func(t *rapid.T) {
+				open, unused := k.Count()
+				if open != len(busy)+len(idle) || unused != len(idle) {
+					t.Fatalf("%d open, %d unused; want %d, %d", open, unused, len(busy)+len(idle), len(idle))
+				}
+				for id := choice.ServerID(1); id <= 3; id++ {
+					if on(id, idle) > mostIdle || on(id, idle)+on(id, busy) > per {
+						t.Fatalf("box %d: %d idle, %d busy", id, on(id, idle), on(id, busy))
+					}
+				}
+			},
+		})
+		now += 100
+		for _, c := range k.Stale(now) {
+			k.Closed(idle[c], c)
+		}
+		for c, id := range busy {
+			k.Closed(id, c)
+		}
+		if open, unused := k.Count(); open+unused+len(k.boxes) > 0 {
+			t.Fatalf("left behind: %d open, %d unused, %d boxes", open, unused, len(k.boxes))
+		}
+	})
+}
--- /dev/null
+++ b/choice/session/session_test.go
@@ -0,0 +1,466 @@
+package session
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+
+	"pgregory.net/rapid"
+	"rainhaven/choice"
+)
+
+func figures() (choice.StartFigures, Bounds) {
+	return choice.StartFigures{Seed: 5, Fronts: 1, Groups: []choice.ServiceGroup{
+			{Utility: 3, Scale: 1.4, StartTarget: 1, Paid: true, Floor: 1, Top: 3, Seats: 4},
+			{Utility: 1, Scale: 1, StartTarget: 1, Top: 3}},
+			Ladder: []float64{200, 500, 1000, 2000}, Cells: 4, Racks: 2, FleetLinks: 40000, UplinkMean: 25000,
+			Places: []float64{20}, NoteLag: 1, NoteEvery: 3, MostSetups: 3, Advice: 1, Probes: true,
+			Reporting: choice.ReportsInAnswers, SpareSetups: 50, SetupShare: 0.5, SetupWindow: 10},
+		Bounds{SetupTimeout: []float64{3, 5}, Sessions: 50, ViewerIdle: 60, KeepAlive: 20}
+}
+
+// atBox is what a box holds of one SETUP.
+type atBox struct {
+	out, held bool
+	box       choice.ServerID
+}
+
+type viewer struct {
+	asked   float64
+	giveUp  float64
+	gone    bool // its connection is, by its own doing
+	answers []Verdict
+	asks    map[int]bool // requests without a reply
+	tries   map[int]*atBox
+	ended   bool
+	paid    bool
+	mayRan  bool
+}
+
+// world takes the orders and breaks the test when one breaks a rule.
+type world struct {
+	tb      rapid.TB
+	t       *Table
+	now     float64
+	viewers map[choice.SessID]*viewer
+	order   []choice.SessID
+	ops     []func(status int) // answers that boxes may still give to operations
+	probes  []choice.ServerID
+	state   map[choice.ServerID]choice.Lifecycle
+	orders  int
+}
+
+func newWorld(tb rapid.TB) *world {
+	w := &world{tb: tb, now: 100, viewers: map[choice.SessID]*viewer{}, state: map[choice.ServerID]choice.Lifecycle{}}
+	fig, bounds := figures()
+	w.t = New(w.now, fig, bounds, w)
+	var list []choice.Listing
+	for i := range 4 {
+		id := choice.ServerID(10 + i)
+		w.state[id] = choice.Ready
+		list = append(list, choice.Listing{ID: id, Cell: i, State: choice.Ready, Heft: 1})
+	}
+	w.do(func() { w.t.Directory(true, list) })
+	return w
+}
+
+// do feeds one batch.
+func (w *world) do(event func()) {
+	w.t.At(w.now)
+	event()
+	w.t.Settle()
+}
+
+func (w *world) Setup(id choice.SessID, try int, box choice.ServerID, rung int) {
+	v := w.viewers[id]
+	w.orders++
+	for n, a := range v.tries {
+		if a.out {
+			w.tb.Fatalf("%s: SETUP %d while %d is out", id, try, n)
+		}
+	}
+	if v.paid && v.mayRan {
+		w.tb.Fatalf("%s: a paid session's SETUP %d after one that may have run", id, try)
+	}
+	if v.paid && rung < 1 {
+		w.tb.Fatalf("%s: rung %d under the floor", id, rung)
+	}
+	if len(v.answers) > 0 || v.gone {
+		w.tb.Fatalf("%s: a SETUP after its end", id)
+	}
+	if w.state[box] != choice.Ready {
+		w.tb.Fatalf("%s: a SETUP to box %d, which is %v", id, box, w.state[box])
+	}
+	v.tries[try] = &atBox{out: true, box: box}
+}
+
+func (w *world) Withdraw(id choice.SessID, try int) {
+	a := w.viewers[id].tries[try]
+	if a == nil || !a.out {
+		w.tb.Fatalf("%s: SETUP %d is withdrawn and not out", id, try)
+	}
+	a.out = false
+}
+
+func (w *world) Do(id choice.SessID, try int, op Op, arg int) {
+	a := w.viewers[id].tries[try]
+	if a == nil || !a.held {
+		w.tb.Fatalf("%s: %v at a box that holds nothing of it", id, op)
+	}
+	if op == TearDown {
+		a.held = false
+	}
+	w.ops = append(w.ops, func(status int) { w.t.OpAnswered(id, try, op, arg, status, choice.Report{Link: -1, Uplink: -1}) })
+}
+
+func (w *world) Drop(id choice.SessID, try int) { w.viewers[id].tries[try].held = false }
+
+func (w *world) Probe(box choice.ServerID) { w.probes = append(w.probes, box) }
+
+func (w *world) Answer(id choice.SessID, v Verdict, _ float64) {
+	x := w.viewers[id]
+	x.answers = append(x.answers, v)
+	if len(x.answers) > 1 || x.gone {
+		w.tb.Fatalf("%s: answers %v, gone %v", id, x.answers, x.gone)
+	}
+	if w.now > x.giveUp {
+		w.tb.Fatalf("%s: answered %v s late", id, w.now-x.giveUp)
+	}
+	if v == Busy && x.paid && x.mayRan {
+		w.tb.Fatalf("%s: a paid session busy-replied after a SETUP that may have run", id)
+	}
+}
+
+func (w *world) Reply(id choice.SessID, n int, _ Result) {
+	if !w.viewers[id].asks[n] {
+		w.tb.Fatalf("%s: request %d has a reply too many", id, n)
+	}
+	delete(w.viewers[id].asks, n)
+}
+
+func (w *world) End(id choice.SessID, _ Why) {
+	v := w.viewers[id]
+	if v.ended || len(v.answers) != 1 || v.answers[0] != Served {
+		w.tb.Fatalf("%s: ended twice or before it was served: %v", id, v.answers)
+	}
+	v.ended = true
+}
+
+func (w *world) ask(group int, title string) choice.SessID {
+	id := choice.SessID(fmt.Sprintf("s%03d", len(w.order)))
+	w.order = append(w.order, id)
+	v := &viewer{asked: w.now, giveUp: w.now + w.t.bounds.SetupTimeout[group], paid: group == 0, asks: map[int]bool{}, tries: map[int]*atBox{}}
+	w.viewers[id] = v
+	w.do(func() { w.t.Ask(id, Ask{Group: group, Title: title, Span: 4, BestRung: 3}) })
+	return id
+}
+
+func (w *world) request(id choice.SessID, op Op) {
+	v := w.viewers[id]
+	if v.gone {
+		return
+	}
+	n := 1000 + w.orders*10 + len(v.asks)
+	w.orders++
+	v.asks[n] = true
+	w.do(func() { w.t.Request(id, op, n) })
+}
+
+// box gives a SETUP an answer; status 0 is a break.
+func (w *world) box(id choice.SessID, try int, status int, sentFirst bool) {
+	v := w.viewers[id]
+	a := v.tries[try]
+	late := !a.out
+	w.do(func() {
+		if sentFirst {
+			w.t.SetupSent(id, try)
+		}
+		if !late {
+			a.out = false
+			a.held = status == 200
+			if sentFirst && OutcomeOf(status) != choice.Full && status != 200 {
+				v.mayRan = true
+			}
+		}
+		if status == 0 {
+			w.t.BoxFailed(id, try)
+			return
+		}
+		w.t.BoxAnswered(id, try, status, choice.Report{Link: 0.4, Uplink: -1})
+	})
+}
+
+// pass lets time go by in steps as Next asks for them.
+func (w *world) pass(seconds float64) {
+	for end := w.now + seconds; ; {
+		n := w.t.Next()
+		if n == 0 || n > end {
+			w.now = max(w.now, end)
+			return
+		}
+		w.now = max(n, w.now)
+		// A SETUP that is out when its wait runs out may have run.
+		for _, id := range w.order {
+			for _, a := range w.viewers[id].tries {
+				if a.out {
+					w.viewers[id].mayRan = w.viewers[id].mayRan || w.t.lives[id] != nil && w.t.lives[id].phase == asked && w.t.lives[id].until <= w.now
+				}
+			}
+		}
+		w.do(w.t.Due)
+	}
+}
+
+// rest ends everything and looks at what is left.
+func (w *world) rest() {
+	for _, id := range w.order {
+		if v := w.viewers[id]; !v.gone {
+			v.gone = len(v.answers) == 0
+			w.do(func() { w.t.ViewerGone(id) })
+		}
+	}
+	w.pass(10)
+	for _, id := range w.order {
+		v := w.viewers[id]
+		for n, a := range v.tries {
+			if a.out || a.held {
+				w.tb.Fatalf("%s: SETUP %d left at box %d (out %v, held %v)", id, n, a.box, a.out, a.held)
+			}
+		}
+		if len(v.asks) > 0 && !v.gone {
+			w.tb.Fatalf("%s: %d requests without reply", id, len(v.asks))
+		}
+	}
+	if len(w.t.lives) > 0 || len(w.t.due) > 0 || len(w.t.touch) > 0 {
+		w.tb.Fatalf("left in the table: %d sessions, %d waits", len(w.t.lives), len(w.t.due))
+	}
+}
+
+func TestFirstRefusesSecondHangs(t *testing.T) {
+	w := newWorld(t)
+	id := w.ask(1, "vents")
+	if len(w.viewers[id].tries) == 0 { // it looks at the likeliest holder first
+		w.pass(0.3)
+	}
+	w.box(id, 1, 453, true)
+	if len(w.viewers[id].tries) != 2 {
+		t.Fatalf("%d SETUPs after a refusal", len(w.viewers[id].tries))
+	}
+	w.do(func() { w.t.SetupSent(id, 2) })
+	w.pass(0.5) // the second hangs
+	if len(w.viewers[id].tries) != 3 {
+		t.Fatalf("%d SETUPs after a hang", len(w.viewers[id].tries))
+	}
+	w.box(id, 2, 200, true) // its late answer means nothing to the session
+	w.box(id, 3, 200, true)
+	if v := w.viewers[id]; len(v.answers) != 1 || v.answers[0] != Served {
+		t.Fatalf("answers %v", v.answers)
+	}
+	w.rest()
+}
+
+func TestPaidSessionThatMayHaveRunIsTornDown(t *testing.T) {
+	w := newWorld(t)
+	id := w.ask(0, "exam")
+	w.pass(0.3)
+	w.do(func() { w.t.SetupSent(id, 1) })
+	w.pass(4)
+	if v := w.viewers[id]; len(v.answers) != 1 || v.answers[0] != TornDown || len(v.tries) != 1 {
+		t.Fatalf("answers %v after %d SETUPs", v.answers, len(v.tries))
+	}
+	w.rest()
+}
+
+func TestViewerLeavesHalfway(t *testing.T) {
+	for _, sent := range []bool{false, true} {
+		w := newWorld(t)
+		id := w.ask(1, "vents")
+		w.pass(0.3)
+		if sent {
+			w.do(func() { w.t.SetupSent(id, 1) })
+		}
+		w.viewers[id].gone = true
+		w.do(func() { w.t.ViewerGone(id) })
+		w.box(id, 1, 200, false) // too late
+		w.rest()
+	}
+}
+
+func TestPipelinedRequestsWaitForTheirTurn(t *testing.T) {
+	w := newWorld(t)
+	id := w.ask(1, "vents")
+	for _, op := range []Op{Join, Play, TearDown} {
+		w.request(id, op)
+	}
+	w.pass(0.3)
+	if len(w.ops) != 0 {
+		t.Fatal("asked of the box before its SETUP was answered")
+	}
+	w.box(id, 1, 200, true)
+	for range 3 {
+		ops := w.ops
+		w.ops = nil
+		for _, op := range ops {
+			w.do(func() { op(200) })
+		}
+	}
+	if v := w.viewers[id]; len(v.asks) != 0 || !v.ended {
+		t.Fatalf("%d requests open, ended %v", len(v.asks), v.ended)
+	}
+	w.rest()
+}
+
+func TestBoxesDroppedBeforeTheSetupLeft(t *testing.T) {
+	w := newWorld(t)
+	id := w.ask(1, "vents")
+	w.pass(0.3)
+	first := w.viewers[id].tries[1].box
+	w.state[first] = choice.Draining
+	w.do(func() {
+		w.t.Directory(false, []choice.Listing{{ID: first, State: choice.Draining, Cell: int(first) - 10}})
+	})
+	v := w.viewers[id]
+	if v.tries[1].out || v.tries[2] == nil || v.tries[2].box == first {
+		t.Fatalf("first %+v, second %+v", v.tries[1], v.tries[2])
+	}
+	w.rest()
+}
+
+func TestCutAnswersAll(t *testing.T) {
+	w := newWorld(t)
+	waiting, playing := w.ask(1, "a"), w.ask(1, "b")
+	w.pass(0.3)
+	w.box(playing, 1, 200, true)
+	w.do(func() { w.t.SetupSent(waiting, 1) })
+	w.do(w.t.Cut)
+	if v := w.viewers[waiting]; len(v.answers) != 1 || v.answers[0] != TornDown {
+		t.Fatalf("a SETUP that may have run: %v", v.answers)
+	}
+	if !w.viewers[playing].ended {
+		t.Fatal("a playing session was not ended")
+	}
+	if v := w.viewers[w.ask(1, "c")]; len(v.answers) != 1 || v.answers[0] != Busy {
+		t.Fatalf("a new request: %v", v.answers)
+	}
+	w.rest()
+}
+
+func TestRefusedRungGoesBackToTheModule(t *testing.T) {
+	w := newWorld(t)
+	id := w.ask(1, "vents")
+	w.pass(0.3)
+	w.box(id, 1, 200, true)
+	l := w.t.lives[id]
+	from := l.rung
+	w.do(func() { acts{w.t}.Rung(id, from-1) })
+	w.do(func() { w.t.OpAnswered(id, 1, SetRung, from-1, 451, choice.Report{Link: -1, Uplink: -1}) })
+	if l.rung != from || l.wantRung != from {
+		t.Fatalf("rung %d, wanted %d, of %d", l.rung, l.wantRung, from)
+	}
+	w.rest()
+}
+
+// Everything that viewers, boxes, clocks and lists may do in any order: one answer each and in time, never two SETUPs
+// out, no paid one twice, nothing left at a box or in the table.
+func TestAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		someone := func(t *rapid.T) choice.SessID {
+			if len(w.order) == 0 {
+				t.Skip("nobody yet")
+			}
+			return rapid.SampledFrom(w.order).Draw(t, "who")
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"ask": func(t *rapid.T) {
+				w.ask(rapid.IntRange(0, 1).Draw(t, "group"), rapid.SampledFrom([]string{"a", "b"}).Draw(t, "title"))
+			},
+			"request": func(t *rapid.T) {
+				w.request(someone(t), rapid.SampledFrom([]Op{Play, Pause, Join, KeepAlive, TearDown}).Draw(t, "op"))
+			},
+			"viewer leaves": func(t *rapid.T) {
+				id := someone(t)
+				w.viewers[id].gone = true
+				w.do(func() { w.t.ViewerGone(id) })
+			},
+			"box answers": func(t *rapid.T) {
+				id := someone(t)
+				status := rapid.SampledFrom([]int{200, 200, 200, 453, 503, 500, 404, 0}).Draw(t, "status")
+				for try, a := range w.viewers[id].tries {
+					if a.out {
+						w.box(id, try, status, rapid.Bool().Draw(t, "sent") || status != 0)
+						return
+					}
+				}
+			},
+			"late answer": func(t *rapid.T) {
+				id := someone(t)
+				for try, a := range w.viewers[id].tries {
+					if !a.out && !a.held {
+						w.box(id, try, 200, false)
+						return
+					}
+				}
+			},
+			"box breaks": func(t *rapid.T) {
+				id := someone(t)
+				for try, a := range w.viewers[id].tries {
+					if a.held {
+						a.held = false
+						w.do(func() { w.t.BoxFailed(id, try) })
+						return
+					}
+				}
+			},
+			"operation answered": func(t *rapid.T) {
+				if len(w.ops) == 0 {
+					t.Skip("none")
+				}
+				i := rapid.IntRange(0, len(w.ops)-1).Draw(t, "which")
+				op := w.ops[i]
+				w.ops = append(w.ops[:i:i], w.ops[i+1:]...)
+				status := rapid.SampledFrom([]int{200, 200, 455, 454, 0}).Draw(t, "status")
+				w.do(func() { op(status) })
+			},
+			"probe answered": func(t *rapid.T) {
+				if len(w.probes) == 0 {
+					t.Skip("none")
+				}
+				box := w.probes[0]
+				w.probes = w.probes[1:]
+				status := rapid.SampledFrom([]int{200, 0}).Draw(t, "status")
+				w.do(func() { w.t.Probed(box, status, choice.TimedOut, choice.Report{Link: 0.3, Uplink: -1}) })
+			},
+			"list": func(t *rapid.T) {
+				box := choice.ServerID(rapid.IntRange(10, 13).Draw(t, "box"))
+				s := rapid.SampledFrom([]choice.Lifecycle{choice.Ready, choice.Ready, choice.Draining, choice.Gone}).Draw(t, "state")
+				w.state[box] = s
+				w.do(func() { w.t.Directory(false, []choice.Listing{{ID: box, Cell: int(box) - 10, State: s, Heft: 1}}) })
+			},
+			"time":      func(t *rapid.T) { w.pass(rapid.Float64Range(0, 1.5).Draw(t, "seconds")) },
+			"long time": func(t *rapid.T) { w.pass(rapid.Float64Range(1, 70).Draw(t, "seconds")) },
+			"": func(t *rapid.T) {
+				for _, id := range w.order {
+					if v := w.viewers[id]; !v.gone && len(v.answers) == 0 && w.now > v.giveUp {
+						t.Fatalf("%s: no answer after its setup timeout", id)
+					}
+				}
+			},
+		})
+		w.rest()
+	})
+}
+
+func BenchmarkSession(b *testing.B) {
+	w := newWorld(b)
+	b.ReportAllocs()
+	for b.Loop() {
+		w.now += 0.01
+		id := choice.SessID(fmt.Sprint(rand.Int63()))
+		w.viewers[id] = &viewer{giveUp: w.now + 5, asks: map[int]bool{}, tries: map[int]*atBox{}}
+		w.do(func() { w.t.Ask(id, Ask{Group: 1, Title: "a", Span: 4, BestRung: 3}) })
+		w.do(func() { w.t.Due() })
+		w.do(func() { w.t.ViewerGone(id) })
+		delete(w.viewers, id)
+	}
+}
