Carry sessions between viewers and boxes: the front's loop, relay and connections

Need: the decisions must run on sockets: RTSP viewers on one side, boxes on the other, media past the loop.

The front is not yet driven by tests: boxes and players come next.

--- a/choice/hearing/hearing.go
+++ b/choice/hearing/hearing.go
@@ -112,20 +112,19 @@
 
 // Tick gives what is due to be told at an instant, by boxes' ids.
 func (e *Ear) Tick(now float64) (told []Told) {
-	type sum struct {
-		x float64
-		n int
+	type sum struct { // in millionths: whole numbers add up alike in any order
+		x, n int64
 	}
 	sums := map[choice.ServerID]sum{}
 	for _, t := range e.tracks {
 		if x, ok := t.share(); ok {
 			s := sums[t.box]
-			sums[t.box] = sum{s.x + x, s.n + 1}
+			sums[t.box] = sum{s.x + int64(x*1e6), s.n + 1}
 		}
 	}
 	for id, s := range sums {
 		b := e.box(id)
-		x := s.x / float64(s.n)
+		x := float64(s.x) / float64(s.n) / 1e6
 		if now-b.told < every {
 			continue
 		}
--- a/choice/session/session.go
+++ b/choice/session/session.go
@@ -356,6 +356,16 @@
 	return choice.ServerError
 }
 
+// BestRung is the highest rung that a viewer can take by the bandwidth it names, in bits a second; 0 is not told. rates
+// are its group's, in kB a second.
+func BestRung(rates []float64, bandwidth float64) int {
+	best := len(rates) - 1
+	for best > 0 && bandwidth > 0 && rates[best]*8000 > bandwidth {
+		best--
+	}
+	return best
+}
+
 // BoxAnswered tells a box's answer to a SETUP.
 func (t *Table) BoxAnswered(id choice.SessID, try, status int, rep choice.Report) {
 	l := t.lives[id]
--- /dev/null
+++ b/internal/front/viewer.go
@@ -0,0 +1,434 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"math"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rainhaven/choice"
+	"rainhaven/choice/session"
+	"rainhaven/internal/relay"
+	"rainhaven/internal/rtsp"
+)
+
+// viewer is one connection of a viewer.
+type viewer struct {
+	f    *Front
+	conn *rtsp.Conn
+	out  *relay.Out
+	room chan struct{} // one for each request without its response; the reader waits beyond
+
+	// Owned by the loop.
+	slots  []*slot // requests in their order; emptied as responses are ready
+	sess   map[choice.SessID]*sess
+	serial int
+	closed bool
+}
+
+// mostPipelined requests of one connection may be without their responses.
+const mostPipelined = 16
+
+// slot keeps a response's place among a connection's.
+type slot struct {
+	req *rtsp.Message
+	msg *rtsp.Message
+}
+
+// sess is a session as it goes over this front's sockets.
+type sess struct {
+	id     choice.SessID
+	viewer *viewer
+	group  int
+	place  rtsp.Place
+	tracks []track
+	stream *relay.Stream
+	first  *slot         // of the SETUP that asked for it
+	asks   map[int]*slot // later requests, by number
+	plays  bool
+	answer *rtsp.Message // what the box said to the last PLAY
+
+	try    int                // of the SETUP ordered last, 0 while none is wanted
+	cancel context.CancelFunc // of a connection that is being made
+}
+
+// track is one track of a session: its number, the viewer's channels and the box's first one.
+type track struct {
+	n         int
+	low, high byte
+	box       byte
+}
+
+// take begins a viewer's connection.
+func (f *Front) take(c net.Conn) {
+	v := &viewer{f: f, conn: rtsp.NewConn(c, rtsp.Bounds{}), out: relay.NewOut(f.terms.Bounds.Queue),
+		room: make(chan struct{}, mostPipelined), sess: map[choice.SessID]*sess{}}
+	f.work.Add(2)
+	go func() {
+		defer f.work.Done()
+		err := v.out.Run(c, time.Duration(f.terms.Bounds.WriteStall*1e9))
+		if err == nil {
+			// Half closed first: input not read yet would turn the last answer into a reset.
+			if t, ok := c.(interface{ CloseWrite() error }); ok {
+				t.CloseWrite()
+				c.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+				return
+			}
+		}
+		c.Close()
+	}()
+	f.post(func() { f.viewers[v] = struct{}{} })
+	go func() {
+		defer f.work.Done()
+		defer f.open.Add(-1)
+		err := v.read()
+		c.Close()
+		v.out.Close()
+		f.post(func() { f.viewerClosed(v, err) })
+	}()
+}
+
+// read takes requests until the connection ends.
+func (v *viewer) read() error {
+	idle := time.Duration((v.f.terms.Bounds.ViewerIdle + 5) * 1e9)
+	for {
+		v.conn.SetReadDeadline(time.Now().Add(idle))
+		m, frame, err := v.conn.Next()
+		var bad *rtsp.MalformedError
+		if errors.As(err, &bad) {
+			v.f.count.malformed.Inc()
+			v.f.log.Info("malformed input of a viewer", zap.String("what", bad.What))
+			if bad.Status != 0 {
+				r := rtsp.Response(nil, bad.Status).With("Connection", "close")
+				if bad.CSeq != "" {
+					r.With("CSeq", bad.CSeq)
+				}
+				v.f.post(func() { v.last(r) })
+				relay.Discard(v.conn.Conn, time.Second)
+			}
+			return err
+		}
+		if err != nil {
+			return err
+		}
+		if m == nil {
+			v.f.post(func() { v.report(frame.Channel) })
+			continue
+		}
+		if !m.IsRequest() {
+			continue // an answer to a request that this front never sends
+		}
+		select {
+		case v.room <- struct{}{}:
+		case <-v.f.done:
+			return net.ErrClosed
+		}
+		v.f.post(func() { v.request(m) })
+	}
+}
+
+// report takes RTCP of the viewer's as a sign of life.
+func (v *viewer) report(channel byte) {
+	for id, s := range v.sess {
+		for _, t := range s.tracks {
+			if t.high == channel {
+				v.f.table.Heard(id)
+				return
+			}
+		}
+	}
+	v.f.count.stray.Inc()
+}
+
+// last answers and ends the connection.
+func (v *viewer) last(r *rtsp.Message) {
+	if !v.closed {
+		v.out.Message(r.Append(nil))
+		v.out.Finish()
+	}
+}
+
+func (f *Front) viewerClosed(v *viewer, err error) {
+	v.closed = true
+	delete(f.viewers, v)
+	for _, id := range slices.Sorted(maps.Keys(v.sess)) {
+		f.table.ViewerGone(id)
+	}
+	f.log.Debug("a viewer's connection is over", zap.Error(err))
+}
+
+// respond fills a slot and writes what is ready, in the order of the requests.
+func (v *viewer) respond(s *slot, r *rtsp.Message) {
+	s.msg = r
+	for len(v.slots) > 0 && v.slots[0].msg != nil {
+		m := v.slots[0].msg
+		v.slots = v.slots[1:]
+		<-v.room
+		if v.closed {
+			continue
+		}
+		v.out.Message(m.Append(nil))
+		if strings.EqualFold(m.Header.Get("Connection"), "close") {
+			v.out.Finish()
+		}
+	}
+}
+
+func (v *viewer) status(s *slot, status int) { v.respond(s, rtsp.Response(s.req, status)) }
+
+const public = "OPTIONS, DESCRIBE, SETUP, PLAY, PAUSE, GET_PARAMETER, SET_PARAMETER, TEARDOWN"
+
+// request takes one request in the loop.
+func (v *viewer) request(m *rtsp.Message) {
+	s := &slot{req: m}
+	v.slots = append(v.slots, s)
+	v.f.count.requests.WithLabelValues(method(m.Method)).Inc()
+	switch {
+	case m.Major != 1:
+		v.status(s, rtsp.VersionNotSupported)
+		return
+	case m.CSeq() < 0:
+		v.status(s, rtsp.BadRequest)
+		return
+	case m.Header.Get("Require") != "":
+		v.respond(s, rtsp.Response(m, rtsp.OptionNotSupported).With("Unsupported", m.Header.Get("Require")))
+		return
+	}
+	switch m.Method {
+	case rtsp.Options:
+		v.alive(m)
+		v.respond(s, rtsp.Response(m, rtsp.OK).With("Public", public))
+	case rtsp.Describe:
+		v.describe(s)
+	case rtsp.Setup:
+		v.setup(s)
+	case rtsp.Play:
+		v.within(s, session.Play)
+	case rtsp.Pause:
+		v.within(s, session.Pause)
+	case rtsp.TearDown:
+		v.within(s, session.TearDown)
+	case rtsp.GetParameter, rtsp.SetParameter:
+		if len(m.Body) > 0 {
+			v.alive(m)
+			v.status(s, rtsp.ParameterNotUnderstood)
+		} else if m.Session() == "" {
+			v.status(s, rtsp.OK)
+		} else {
+			v.within(s, session.KeepAlive)
+		}
+	case rtsp.Announce, rtsp.Record, rtsp.Redirect:
+		v.respond(s, rtsp.Response(m, rtsp.MethodNotAllowed).With("Allow", public))
+	default:
+		v.respond(s, rtsp.Response(m, rtsp.NotImplemented).With("Public", public))
+	}
+}
+
+// method keeps a metric's labels to those that are known.
+func method(m string) string {
+	if strings.Contains(public, m) && len(m) > 3 && !strings.Contains(m, ",") {
+		return m
+	}
+	return "other"
+}
+
+func (v *viewer) alive(m *rtsp.Message) {
+	if id := choice.SessID(m.Session()); v.sess[id] != nil {
+		v.f.table.Heard(id)
+	}
+}
+
+// find gives the session that a request names: by its id, or, where a viewer pipelines before it was told one, the
+// only session of its connection.
+func (v *viewer) find(m *rtsp.Message) *sess {
+	if id := m.Session(); id != "" {
+		return v.sess[choice.SessID(id)]
+	}
+	if len(v.sess) == 1 {
+		for _, s := range v.sess {
+			return s
+		}
+	}
+	return nil
+}
+
+// within takes a request within a session.
+func (v *viewer) within(s *slot, op session.Op) {
+	x := v.find(s.req)
+	if x == nil {
+		v.status(s, rtsp.SessionNotFound)
+		return
+	}
+	if r := s.req.Header.Get("Range"); op == session.Play && r != "" {
+		if _, err := rtsp.ParseRange(r); err != nil {
+			v.status(s, rtsp.InvalidRange)
+			return
+		}
+	}
+	v.serial++
+	x.asks[v.serial] = s
+	v.f.table.Request(x.id, op, v.serial)
+}
+
+// setup takes a SETUP: a request for a session, or a further track of one.
+func (v *viewer) setup(s *slot) {
+	f, m := v.f, s.req
+	p, err := rtsp.ParsePlace(m.URL)
+	g := f.terms.GroupIndex(p.Group)
+	title, known := f.terms.Titles[p.Title]
+	if err != nil || g < 0 || !known {
+		v.status(s, rtsp.NotFound)
+		return
+	}
+	specs, err := rtsp.ParseTransport(m.Header.Get("Transport"))
+	tr, ok := rtsp.OverTCP(specs)
+	if err != nil || !ok {
+		v.respond(s, rtsp.Response(m, rtsp.UnsupportedTransport).With("Transport", "RTP/AVP/TCP;unicast;interleaved=0-1"))
+		return
+	}
+	n := max(p.Track, 0)
+	if n >= len(media) {
+		v.status(s, rtsp.NotFound)
+		return
+	}
+	t := track{n: n, low: tr.Low, high: tr.High}
+	if !tr.Interleaved {
+		if t.low, t.high, ok = v.free(); !ok {
+			v.status(s, rtsp.NotEnoughBandwidth)
+			return
+		}
+	} else if v.used(t.low) || v.used(t.high) {
+		v.status(s, rtsp.UnsupportedTransport)
+		return
+	}
+	if x := v.joins(m, p); x != nil {
+		t.box = byte(2 * len(x.tracks))
+		v.serial++
+		x.asks[v.serial] = s
+		x.tracks = append(x.tracks, t)
+		f.table.Request(x.id, session.Join, v.serial)
+		return
+	}
+	if m.Session() != "" {
+		v.status(s, rtsp.SessionNotFound)
+		return
+	}
+	x := &sess{id: newID(), viewer: v, group: g, place: p, tracks: []track{t}, first: s, asks: map[int]*slot{}}
+	x.stream = relay.NewStream(v.out, func(link, uplink float64) { f.post(func() { f.note(x, link, uplink) }) })
+	x.stream.Add(t.box, &relay.Track{RTP: t.low, RTCP: t.high, Clock: media[t.n].clock})
+	f.sess[x.id], v.sess[x.id] = x, x
+	bandwidth, _ := strconv.ParseFloat(strings.TrimSpace(m.Header.Get("Bandwidth")), 64)
+	if !(bandwidth >= 0) || math.IsInf(bandwidth, 0) {
+		bandwidth = 0
+	}
+	f.count.taken.WithLabelValues(f.terms.Groups[g].Name).Inc()
+	f.table.Ask(x.id, session.Ask{Group: g, Title: p.Title, StartCell: title.StartCell, Span: title.Span,
+		BestRung: session.BestRung(f.terms.Groups[g].Rates, bandwidth), Length: title.Length})
+}
+
+// joins finds the session that a SETUP adds a track to: the one it names, or one of the same presentation whose first
+// SETUP was pipelined just before.
+func (v *viewer) joins(m *rtsp.Message, p rtsp.Place) *sess {
+	if id := m.Session(); id != "" {
+		return v.sess[choice.SessID(id)]
+	}
+	for _, x := range v.sess {
+		if x.first != nil && x.place.Group == p.Group && x.place.Title == p.Title && !x.has(max(p.Track, 0)) {
+			return x
+		}
+	}
+	return nil
+}
+
+func (x *sess) has(n int) bool {
+	for _, t := range x.tracks {
+		if t.n == n {
+			return true
+		}
+	}
+	return false
+}
+
+func (v *viewer) used(channel byte) bool {
+	for _, x := range v.sess {
+		for _, t := range x.tracks {
+			if t.low == channel || t.high == channel {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (v *viewer) free() (low, high byte, ok bool) {
+	for c := 0; c < 255; c += 2 {
+		if !v.used(byte(c)) && !v.used(byte(c+1)) {
+			return byte(c), byte(c + 1), true
+		}
+	}
+	return 0, 0, false
+}
+
+// forget drops a session whose end has been told.
+func (f *Front) forget(x *sess) {
+	delete(f.sess, x.id)
+	delete(x.viewer.sess, x.id)
+	f.ear.Forget(x.id)
+	x.plays = false
+}
+
+// note passes a load note on, one a box.
+func (f *Front) note(x *sess, link, uplink float64) {
+	c := f.atBox[x.id]
+	if c == nil || !f.ear.Note(c.box, f.now(), link, uplink) {
+		return
+	}
+	f.count.notes.Inc()
+	f.table.Load(x.id, c.box, link, false)
+	if uplink >= 0 {
+		f.table.Load(x.id, c.box, uplink, true)
+	}
+}
+
+// played answers a PLAY: where the media goes on from, and its first frames after it.
+func (x *sess) played(s *slot) *rtsp.Message {
+	r := rtsp.Response(s.req, rtsp.OK).With("Session", string(x.id))
+	if x.answer != nil {
+		if v := x.answer.Header.Get("Range"); v != "" {
+			r.With("Range", v)
+		}
+		list, err := rtsp.ParseRTPInfo(x.answer.Header.Get("Rtp-Info"))
+		var out []rtsp.RTPInfo
+		for _, i := range list {
+			p, bad := rtsp.ParsePlace(i.URL)
+			if bad != nil {
+				continue
+			}
+			for _, t := range x.tracks {
+				if t.n != max(p.Track, 0) {
+					continue
+				}
+				if seq, ts, ok := x.stream.Position(t.box); ok {
+					i.Seq, i.RTPTime = seq, ts // the stream goes on in the numbers that the viewer knows
+				}
+				i.URL = rtsp.Place{Host: x.place.Host, Group: x.place.Group, Title: x.place.Title, Track: t.n, Query: x.place.Query}.URL()
+				out = append(out, i)
+			}
+		}
+		if err == nil && len(out) > 0 {
+			r.With("RTP-Info", rtsp.FormatRTPInfo(out))
+		}
+	}
+	return r
+}
+
+func (f *Front) sessionField(x *sess) string {
+	return rtsp.SessionField(string(x.id), time.Duration(f.terms.Bounds.ViewerIdle*1e9))
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,224 @@
+package relay
+
+import (
+	"encoding/binary"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+	"rainhaven/internal/rtsp"
+)
+
+func packet(seq uint16, ts, ssrc uint32, payload ...byte) []byte {
+	p := make([]byte, 12, 12+len(payload))
+	p[0], p[1] = 0x80, 96
+	binary.BigEndian.PutUint16(p[2:], seq)
+	binary.BigEndian.PutUint32(p[4:], ts)
+	binary.BigEndian.PutUint32(p[8:], ssrc)
+	return append(p, payload...)
+}
+
+// pair runs a queue into one end of a connection and reads the other.
+func pair(t testing.TB, most int) (*Out, *rtsp.Conn, <-chan error) {
+	a, b := net.Pipe()
+	o, done := NewOut(most), make(chan error, 1)
+	go func() {
+		err := o.Run(a, time.Second)
+		a.Close()
+		done <- err
+	}()
+	t.Cleanup(func() {
+		o.Close()
+		b.Close()
+	})
+	return o, rtsp.NewConn(b, rtsp.Bounds{}), done
+}
+
+func TestOneContinuousStreamFromManySources(t *testing.T) {
+	o, in, _ := pair(t, 1<<20)
+	s := NewStream(o, nil)
+	s.Add(4, &Track{RTP: 0, RTCP: 1, Clock: 90000})
+	s.Frame(1, 4, packet(65534, 4294967000, 77)) // before PLAY is answered: kept
+	s.Open()
+	for i := range uint32(4) {
+		s.Frame(2, 4, packet(uint16(65535+i), 4294967000+3600*(i+1), 77))
+	}
+	for i := range uint32(4) {
+		s.Frame(3, 4, packet(uint16(100+i), 5000+3600*i, 88)) // another source
+	}
+	for i := range uint32(4) {
+		s.Frame(4, 4, packet(uint16(104+i), 5000+3600*4+90000*60+3600*i, 88)) // it leaps ahead
+	}
+	s.Frame(4, 9, packet(1, 1, 1)) // never set up
+	s.Bye()
+	o.Finish()
+	var seq uint16
+	var ts uint32
+	for i := range 13 {
+		_, f, err := in.Next()
+		if err != nil || f.Channel != 0 {
+			t.Fatalf("frame %d: channel %d, %v", i, f.Channel, err)
+		}
+		p := f.Payload()
+		q, u := binary.BigEndian.Uint16(p[2:]), binary.BigEndian.Uint32(p[4:])
+		if i > 0 && (q != seq+1 || u != ts+3600) {
+			t.Errorf("frame %d: seq %d after %d, ts %d after %d", i, q, seq, u, ts)
+		}
+		if src := binary.BigEndian.Uint32(p[8:]); src != 77 {
+			t.Errorf("frame %d: source %d", i, src)
+		}
+		seq, ts = q, u
+	}
+	if _, f, err := in.Next(); err != nil || f.Channel != 1 || f.Payload()[1] != 203 {
+		t.Errorf("no BYE at the end: %v", err)
+	}
+	if _, _, err := in.Next(); err != io.EOF {
+		t.Errorf("after the end: %v", err)
+	}
+	if s.Stray.Load() != 1 {
+		t.Errorf("%d stray frames", s.Stray.Load())
+	}
+	if at, media, ok := s.Progress(); !ok || at != 4 || media < 0.47 || media > 0.49 {
+		t.Errorf("progress %v %v %v", at, media, ok)
+	}
+}
+
+func TestNotesLeaveTheStream(t *testing.T) {
+	o, in, _ := pair(t, 1<<20)
+	var link, uplink float64
+	s := NewStream(o, func(l, u float64) { link, uplink = l, u })
+	s.Add(0, &Track{RTP: 6, RTCP: 7, Clock: 90000})
+	s.Open()
+	s.Frame(1, 0, packet(5, 100, 77))
+	report := make([]byte, 28)
+	report[0], report[1], report[3] = 0x80, 200, 6
+	binary.BigEndian.PutUint32(report[4:], 77)
+	s.Frame(1, 1, AppendNote(report, 77, 0.75, -1))
+	in.Next()
+	_, f, err := in.Next()
+	if err != nil || f.Channel != 7 || len(f.Payload()) != 28 {
+		t.Fatalf("the report alone should come: %d bytes, %v", len(f.Payload()), err)
+	}
+	if link != 0.75 || uplink != -1 {
+		t.Errorf("note %v %v", link, uplink)
+	}
+	s.Frame(1, 1, []byte{0x80, 200, 0xff, 0xff, 0, 0, 0, 0}) // longer than it is
+	if s.Stray.Load() != 1 {
+		t.Error("a broken report was taken")
+	}
+}
+
+func TestSlowViewerLosesFramesOnly(t *testing.T) {
+	a, b := net.Pipe()
+	defer b.Close()
+	o := NewOut(10000)
+	s := NewStream(o, nil)
+	s.Add(0, &Track{RTP: 0, RTCP: 1, Clock: 90000})
+	s.Open()
+	for i := range uint32(100) { // nobody reads
+		s.Frame(1, 0, packet(uint16(i), i*3600, 7, make([]byte, 988)...))
+	}
+	if w := o.Waiting(); w > 10000 {
+		t.Errorf("%d bytes wait", w)
+	}
+	if d := o.Dropped.Load(); d != 91 {
+		t.Errorf("%d dropped", d)
+	}
+	if err := o.Message([]byte("RTSP/1.0 200 OK\r\nCSeq: 1\r\n\r\n")); err != nil {
+		t.Error(err)
+	}
+	o.Finish()
+	go o.Run(a, time.Second)
+	in, n := rtsp.NewConn(b, rtsp.Bounds{}), 0
+	for {
+		m, _, err := in.Next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if m != nil {
+			break
+		}
+		n++
+	}
+	if n != 9 {
+		t.Errorf("%d frames before the message", n)
+	}
+	for range 3 {
+		o.Message(make([]byte, 30<<10))
+	}
+	if err := o.Message(nil); err == nil {
+		t.Error("messages without bound")
+	}
+}
+
+func TestStalledViewerIsLeft(t *testing.T) {
+	a, b := net.Pipe()
+	defer b.Close()
+	o := NewOut(10000)
+	o.Message([]byte("x"))
+	if err := o.Run(a, 5*time.Millisecond); err == nil {
+		t.Error("a write without end")
+	}
+}
+
+// Whatever numbers a source sends, the viewer's sequence goes forward by one a frame in the order sent, or as the
+// source itself skips and swaps within a window; media time never runs back.
+func TestAnySource(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tr := &Track{Clock: 90000}
+		var last int64
+		for range rapid.IntRange(1, 200).Draw(t, "frames") {
+			seq := rapid.Uint16().Draw(t, "seq")
+			before, known := tr.lastSeq, tr.known
+			out, _ := tr.rewrite(seq, rapid.Uint32().Draw(t, "ts"), rapid.Uint32Range(1, 2).Draw(t, "src"))
+			if d := int16(out - before); known && (d < -1000 || d > 1000) {
+				t.Fatalf("seq leaps by %d", d)
+			}
+			if tr.reached < last || tr.reached-last > 10*90000 {
+				t.Fatalf("media time from %d to %d", last, tr.reached)
+			}
+			last = tr.reached
+		}
+	})
+}
+
+func FuzzControl(f *testing.F) {
+	f.Add(AppendNote(nil, 1, 0.5, 0.25))
+	f.Add([]byte{0x81, 203, 0, 1, 0, 0, 0, 9})
+	f.Fuzz(func(t *testing.T, in []byte) {
+		o := NewOut(1 << 16)
+		s := NewStream(o, func(l, u float64) {
+			if l < 0 && l != -1 || u < 0 && u != -1 {
+				t.Fatalf("note %v %v", l, u)
+			}
+		})
+		s.Add(0, &Track{RTP: 0, RTCP: 1, Clock: 90000})
+		s.Open()
+		s.Frame(1, 0, packet(1, 1, 9))
+		s.Frame(1, 1, in)
+		s.Frame(1, 0, in)
+	})
+}
+
+func BenchmarkFrame(b *testing.B) {
+	o := NewOut(1 << 20)
+	x, y := net.Pipe()
+	go o.Run(x, 0)
+	go io.Copy(io.Discard, y)
+	defer o.Close()
+	s := NewStream(o, nil)
+	s.Add(0, &Track{RTP: 0, RTCP: 1, Clock: 90000})
+	s.Open()
+	p := packet(0, 0, 7, make([]byte, 1388)...)
+	b.SetBytes(int64(len(p)))
+	b.ReportAllocs()
+	i := uint32(0)
+	for b.Loop() {
+		i++
+		binary.BigEndian.PutUint16(p[2:], uint16(i))
+		binary.BigEndian.PutUint32(p[4:], i*3600)
+		s.Frame(1, 0, p)
+	}
+}
--- a/internal/rtsp/header.go
+++ b/internal/rtsp/header.go
@@ -219,10 +219,11 @@
 	return 60 * time.Second
 }
 
-// Place is what a URL names: rtsp://host/<service group>/<title>[/track<n>].
+// Place is what a URL names: rtsp://host/<service group>/<title>[/track<n>][?query].
 type Place struct {
 	Host, Group, Title string
-	Track              int // -1 for the presentation
+	Track              int    // -1 for the presentation
+	Query              string // as given: the viewer's own, passed on to boxes for tracing
 }
 
 // ParsePlace reads a URL by that form.
@@ -232,7 +233,7 @@
 	if err != nil || u.Scheme != "rtsp" && u.Scheme != "rtsps" || u.Host == "" {
 		return p, fmt.Errorf("%.60q is not an rtsp URL", raw)
 	}
-	p.Host = u.Host
+	p.Host, p.Query = u.Host, u.RawQuery
 	parts := strings.Split(strings.Trim(u.Path, "/"), "/")
 	if len(parts) == 3 {
 		n, err := strconv.Atoi(strings.TrimPrefix(parts[2], "track"))
@@ -255,6 +256,9 @@
 	if p.Track >= 0 {
 		s += "/track" + strconv.Itoa(p.Track)
 	}
+	if p.Query != "" {
+		s += "?" + p.Query
+	}
 	return s
 }
 
--- a/internal/rtsp/rtsp_test.go
+++ b/internal/rtsp/rtsp_test.go
@@ -134,8 +134,8 @@
 }
 
 func TestPlaces(t *testing.T) {
-	p, err := ParsePlace("rtsp://front:8554/fault-clips/vent%201/track1")
-	if err != nil || p.Group != "fault-clips" || p.Title != "vent 1" || p.Track != 1 {
+	p, err := ParsePlace("rtsp://front:8554/fault-clips/vent%201/track1?viewer=7")
+	if err != nil || p.Group != "fault-clips" || p.Title != "vent 1" || p.Track != 1 || p.Query != "viewer=7" {
 		t.Errorf("%+v %v", p, err)
 	}
 	if again, err := ParsePlace(p.URL()); err != nil || again != p {
--- /dev/null
+++ b/internal/settings/terms.go
@@ -0,0 +1,65 @@
+// Package settings reads a front's settings, a Starlark script, into checked figures. Every mistake is named with its
+// file and line and what would be right; nothing is taken from a script that has one.
+package settings
+
+import (
+	"rainhaven/choice"
+)
+
+// Terms are what one front runs by.
+type Terms struct {
+	Name   string // of the instance: in logs, metrics and towards boxes
+	Listen string // address for viewers
+	Admin  string // address for health and metrics; empty is none
+
+	Figures choice.StartFigures // Seed 0 is drawn at start
+	Groups  []Group             // in the order of Figures.Groups
+	Titles  map[string]Title
+	Boxes   []Box
+	Zones   []string
+	Kinds   []string
+
+	Bounds Bounds
+}
+
+// Group is what a front needs of a service group beside the module's terms.
+type Group struct {
+	Name         string
+	SetupTimeout float64   // seconds until a viewer gives up
+	Rates        []float64 // kB a second for each rung
+}
+
+// Title is what a front knows of a title.
+type Title struct {
+	StartCell, Span int
+	Length          float64 // seconds; 0 is not known
+}
+
+// Box is one server of the list, with its address.
+type Box struct {
+	choice.Listing
+	Address string
+}
+
+// Bounds are the front's own limits.
+type Bounds struct {
+	Connections    int     // of viewers
+	Sessions       int     // in all
+	BoxConnections int     // to one box
+	Queue          int     // bytes of media that wait for one viewer
+	ViewerIdle     float64 // seconds after which an unheard viewer is gone
+	KeepAlive      float64 // seconds between signs of life to boxes
+	ConnectTimeout float64 // seconds
+	ProbeTimeout   float64 // seconds
+	WriteStall     float64 // seconds that one write to a viewer may take
+}
+
+// GroupIndex finds a service group by its name, -1 where there is none.
+func (t *Terms) GroupIndex(name string) int {
+	for i, g := range t.Groups {
+		if g.Name == name {
+			return i
+		}
+	}
+	return -1
+}
