--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -368,7 +368,11 @@
 		v.out.Finish()
 	}
 	for _, b := range f.conns {
-		b.out.Finish()
+		if b.withdrawn {
+			b.close()
+		} else {
+			b.out.Finish()
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,575 @@
+package front_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/goleak"
+
+	"rainhaven/choice"
+	"rainhaven/internal/front"
+	"rainhaven/internal/lab/box"
+	"rainhaven/internal/lab/player"
+	"rainhaven/internal/lab/witness"
+	"rainhaven/internal/rtsp"
+	"rainhaven/internal/settings"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// bench is one front before some boxes, all holding every title.
+type bench struct {
+	*front.Front
+	t     testing.TB
+	boxes []*box.Box
+	site  *box.Site
+	terms settings.Terms
+	addr  string
+	wit   *witness.Witness
+	reg   *prometheus.Registry
+	now   func() float64
+}
+
+func newBench(t testing.TB, boxes int, change func(*settings.Terms, *box.Site)) *bench {
+	epoch := time.Now()
+	base := float64(epoch.UnixNano()) / 1e9
+	b := &bench{t: t, now: func() float64 { return base + time.Since(epoch).Seconds() }, reg: prometheus.NewRegistry()}
+	b.wit = witness.New(witness.Terms{Groups: map[string]witness.Group{"clips": {SetupTimeout: 3, Floor: 1},
+		"exam": {SetupTimeout: 2, Paid: true}}, Grace: 0.5, AnswerBy: 0.04, Spare: 20, Share: 0.1, Window: 10})
+	b.site = &box.Site{Ladder: []float64{250, 500, 1000, 2000}, Scale: map[string]float64{"clips": 1}, Places: 100,
+		Length: func(string) float64 { return 0 }, ReportEvery: 0.1, NoteEvery: 1, FPS: 50, Thin: 0.02, Now: b.now, Witness: b.wit}
+	b.terms = settings.Terms{Name: "front-0", Figures: choice.StartFigures{Seed: 3, Fronts: 1, Groups: []choice.ServiceGroup{
+		{Utility: 2, Scale: 1, StartTarget: 0.5, Floor: 1, Top: 3}, {Utility: 1, Scale: 1, StartTarget: 0.5, Top: 3, Paid: true}},
+		Ladder: b.site.Ladder, Cells: boxes, Racks: 1, FleetLinks: 20000 * float64(boxes), UplinkMean: 20000 * float64(boxes),
+		Places: []float64{100}, NoteLag: 0.2, NoteEvery: 1, MostSetups: 3, Advice: 1, Reporting: choice.ReportsInAnswers,
+		SpareSetups: 20, SetupShare: 0.1, SetupWindow: 10},
+		Groups: []settings.Group{{Name: "clips", SetupTimeout: 3, Rates: b.site.Ladder}, {Name: "exam", SetupTimeout: 2, Rates: b.site.Ladder}},
+		Titles: map[string]settings.Title{"vents": {Span: boxes}},
+		Bounds: settings.Bounds{Connections: 1000, Sessions: 1000, BoxConnections: 200, Queue: 1 << 18, ViewerIdle: 60,
+			KeepAlive: 20, ConnectTimeout: 0.25, ProbeTimeout: 0.25, WriteStall: 5}}
+	if change != nil {
+		change(&b.terms, b.site)
+	}
+	rack := box.NewRack(20000 * float64(boxes))
+	for i := range boxes {
+		x, err := box.Start(b.site, i+1, "", 20000, rack, false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(x.Close)
+		b.boxes = append(b.boxes, x)
+		b.terms.Boxes = append(b.terms.Boxes, settings.Box{Address: x.Address,
+			Listing: choice.Listing{ID: choice.ServerID(i + 1), Cell: i, State: choice.Ready, Heft: 1}})
+	}
+	f, err := front.New(b.terms, front.Options{Registry: b.reg})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Front = f
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.addr = l.Addr().String()
+	served := make(chan error, 1)
+	go func() { served <- f.Serve(l) }()
+	t.Cleanup(func() {
+		f.Close()
+		if err := <-served; err != nil {
+			t.Error(err)
+		}
+	})
+	return b
+}
+
+var tokens atomic.Int64
+
+func (b *bench) want(group string) player.Want {
+
+	return player.Want{Address: b.addr, Front: "front-0", Group: group, Title: "vents", Token: fmt.Sprint("v", tokens.Add(1)),
+		SetupTimeout: b.wit0(group), Watch: 0.3, Now: b.now, Witness: b.wit}
+}
+
+func (b *bench) wit0(group string) float64 {
+	return b.terms.Groups[b.terms.GroupIndex(group)].SetupTimeout
+}
+
+// rules waits until all sessions are over, at the front and at the boxes, and judges.
+func (b *bench) rules() witness.Verdict {
+	b.t.Helper()
+	b.eventually("all sessions are over", func() bool {
+		n := b.Sessions()
+		for _, x := range b.boxes {
+			n += x.Sessions()
+		}
+		return n == 0
+	})
+	v := b.wit.Judge(b.now())
+	if v.Broken() > 0 {
+		b.t.Errorf("%v\n%s", v, strings.Join(v.Notes, "\n"))
+	}
+	return v
+}
+
+// eventually polls for something that happens without an event that a test could wait on.
+func (b *bench) eventually(what string, is func() bool) {
+	b.t.Helper()
+	end := time.Now().Add(15 * time.Second)
+	for !is() {
+		if time.Now().After(end) {
+			b.t.Fatalf("not within 15 s: %s", what)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+func TestOneSessionFromViewerToBoxAndBack(t *testing.T) {
+	b := newBench(t, 3, nil)
+	w := b.want("clips")
+	w.Describe, w.Tracks, w.Watch = true, 2, 0.5
+	seen, err := player.Watch(context.Background(), w)
+	if err != nil || seen.Status != 200 || seen.Frames < 20 || seen.Lost+seen.Doubled+seen.Jumps > 0 || !seen.Ended {
+		t.Errorf("%+v %v", seen, err)
+	}
+	if v := b.rules(); v.Taken != 1 || v.Answered != 1 {
+		t.Errorf("%v", v)
+	}
+}
+
+// The table of outcomes in the package comment, one by one: what boxes do to SETUPs, and the answer that comes of it.
+func TestOutcomes(t *testing.T) {
+	all := func(b *bench, do func(*box.Box)) {
+		for _, x := range b.boxes {
+			do(x)
+		}
+	}
+	for name, c := range map[string]struct {
+		group  string
+		before func(b *bench)
+		status int
+		setups int64 // at boxes, at least
+		most   int64
+	}{
+		"served":                   {"clips", func(*bench) {}, 200, 1, 1},
+		"all full":                 {"clips", func(b *bench) { all(b, func(x *box.Box) { x.Refuse(true) }) }, 503, 3, 3},
+		"paid, all full":           {"exam", func(b *bench) { all(b, func(x *box.Box) { x.Refuse(true) }) }, 503, 3, 3},
+		"errors, then served":      {"clips", func(b *bench) { all(b, func(x *box.Box) { x.Errors(1) }) }, 503, 3, 3},
+		"paid, error":              {"exam", func(b *bench) { all(b, func(x *box.Box) { x.Errors(1) }) }, 504, 1, 1},
+		"all hang":                 {"clips", func(b *bench) { all(b, (*box.Box).Hang) }, 503, 3, 3},
+		"paid, hang":               {"exam", func(b *bench) { all(b, (*box.Box).Hang) }, 504, 1, 1},
+		"all break":                {"clips", func(b *bench) { all(b, func(x *box.Box) { x.Breaks(1) }) }, 503, 3, 3},
+		"paid, break":              {"exam", func(b *bench) { all(b, func(x *box.Box) { x.Breaks(1) }) }, 504, 1, 1},
+		"no connection":            {"clips", func(b *bench) { all(b, (*box.Box).Kill) }, 503, 0, 0},
+		"paid, no connection":      {"exam", func(b *bench) { all(b, (*box.Box).Kill) }, 503, 0, 0},
+		"two refuse, third served": {"clips", func(b *bench) { b.boxes[0].Refuse(true); b.boxes[2].Refuse(true) }, 200, 1, 3},
+		"first refuses, second hangs": {"clips", func(b *bench) {
+			b.boxes[0].Refuse(true)
+			b.boxes[1].Hang()
+		}, 200, 1, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 3, nil)
+			c.before(b)
+			seen, err := player.Watch(context.Background(), b.want(c.group))
+			if seen.Status != c.status {
+				t.Errorf("status %d (%v), want %d", seen.Status, err, c.status)
+			}
+			if seen.Status == 503 && seen.RetryAfter == 0 {
+				t.Error("a busy reply without advice")
+			}
+			n := int64(0)
+			for _, x := range b.boxes {
+				n += x.Count().Setups
+				x.Unhang()
+			}
+			if n < c.setups || n > c.most {
+				t.Errorf("%d SETUPs at boxes, want %d to %d", n, c.setups, c.most)
+			}
+			if v := b.rules(); v.Taken != 1 {
+				t.Errorf("%v", v)
+			}
+		})
+	}
+}
+
+func TestLateAnswerIsTornDownAtTheBox(t *testing.T) {
+	b := newBench(t, 2, nil)
+	b.boxes[0].HoldAnswers()
+	b.boxes[1].HoldAnswers()
+	seen, err := player.Watch(context.Background(), b.want("clips"))
+	if seen.Status != 503 {
+		t.Fatalf("%+v %v", seen, err)
+	}
+	for _, x := range b.boxes {
+		x.Unhang() // both now set up what was withdrawn
+	}
+	b.rules()
+	b.eventually("two orphans torn down", func() bool { return metric(b, "rainhaven_orphans_total", "torn down") == 2 })
+}
+
+func metric(b *bench, name, label string) float64 {
+	list, err := b.reg.Gather()
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	for _, f := range list {
+		for _, m := range f.Metric {
+			if f.GetName() == name && (len(m.Label) == 0 || m.Label[0].GetValue() == label) {
+				return m.GetCounter().GetValue()
+			}
+		}
+	}
+	return 0
+}
+
+func TestViewerLeaves(t *testing.T) {
+	for name, c := range map[string]struct {
+		hold  bool
+		after float64
+	}{"halfway through set-up": {true, 0.05}, "while it plays": {false, 0.3}} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 2, nil)
+			if c.hold {
+				b.boxes[0].HoldAnswers()
+				b.boxes[1].HoldAnswers()
+			}
+			w := b.want("clips")
+			w.Watch, w.LeaveAfter = 0, c.after
+			player.Watch(context.Background(), w)
+			b.eventually("the front has let go", func() bool { return b.Sessions() == 0 })
+			for _, x := range b.boxes {
+				x.Unhang()
+			}
+			b.rules()
+		})
+	}
+}
+
+// dial speaks to the front by hand.
+func (b *bench) dial() *rtsp.Conn {
+	c, err := net.Dial("tcp", b.addr)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	return rtsp.NewConn(c, rtsp.Bounds{})
+}
+
+func (b *bench) setup(cseq, query string) *rtsp.Message {
+	return rtsp.Request(rtsp.Setup, "rtsp://"+b.addr+"/clips/vents"+query).With("CSeq", cseq).
+		With("Transport", "RTP/AVP/TCP;unicast")
+}
+
+func TestAfterTheAnswerAndBeforePlay(t *testing.T) {
+	b := newBench(t, 2, nil)
+	c := b.dial()
+	r, err := c.RoundTrip(b.setup("1", ""), 5*time.Second, nil)
+	if err != nil || r.Status != 200 {
+		t.Fatal(r, err)
+	}
+	for _, x := range b.boxes { // the box closes between SETUP and PLAY
+		if x.Sessions() > 0 {
+			x.ResetAll()
+		}
+	}
+	b.eventually("the front knows", func() bool { return b.Sessions() == 0 })
+	r, err = c.RoundTrip(rtsp.Request(rtsp.Play, "rtsp://"+b.addr+"/clips/vents").With("CSeq", "2").With("Session", r.Session()), 5*time.Second, nil)
+	if err == nil && r.Status != rtsp.SessionNotFound {
+		t.Errorf("PLAY on a session whose box is gone: %d", r.Status)
+	}
+	d := b.dial()
+	if r, err := d.RoundTrip(b.setup("1", ""), 5*time.Second, nil); err != nil || r.Status != 200 {
+		t.Fatal(r, err)
+	}
+	d.Close() // the viewer leaves after 200 and before PLAY
+	b.rules()
+}
+
+func TestPipelinedInOneWrite(t *testing.T) {
+	b := newBench(t, 1, nil)
+	c := b.dial()
+	url := "rtsp://" + b.addr + "/clips/vents"
+	var all []byte
+	all = b.setup("1", "/track0").Append(all)
+	all = rtsp.Request(rtsp.Setup, url+"/track1").With("CSeq", "2").With("Transport", "RTP/AVP/TCP;interleaved=6-7").Append(all)
+	all = rtsp.Request(rtsp.Play, url).With("CSeq", "3").Append(all)
+	all = rtsp.Request(rtsp.TearDown, url).With("CSeq", "4").Append(all)
+	if _, err := c.Write(all); err != nil {
+		t.Fatal(err)
+	}
+	for want := 1; want <= 4; {
+		m, _, err := c.Next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if m == nil {
+			continue
+		}
+		if m.CSeq() != want || m.Status != 200 {
+			t.Fatalf("answer %d: CSeq %d, %d %s", want, m.CSeq(), m.Status, m.Reason)
+		}
+		want++
+	}
+	b.rules()
+	if n := b.boxes[0].Count().Setups; n != 1 {
+		t.Errorf("%d SETUPs for a session", n)
+	}
+}
+
+func TestPauseAndSeek(t *testing.T) {
+	b := newBench(t, 1, nil)
+	c := b.dial()
+	url := "rtsp://" + b.addr + "/clips/vents"
+	r, err := c.RoundTrip(b.setup("1", ""), 5*time.Second, nil)
+	if err != nil || r.Status != 200 {
+		t.Fatal(r, err)
+	}
+	id, cseq := r.Session(), 1
+	var last uint16
+	var jumps, frames int
+	look := func(m *rtsp.Message, f rtsp.Frame) {
+		if m == nil && f.Channel == 0 {
+			p := f.Payload()
+			if seq := uint16(p[2])<<8 | uint16(p[3]); frames > 0 && seq != last+1 {
+				jumps++
+				last = seq
+			} else {
+				last = seq
+			}
+			frames++
+		}
+	}
+	do := func(method, rng string, want int) *rtsp.Message {
+		cseq++
+		m := rtsp.Request(method, url).With("CSeq", fmt.Sprint(cseq)).With("Session", id)
+		if rng != "" {
+			m.With("Range", rng)
+		}
+		r, err := c.RoundTrip(m, 5*time.Second, look)
+		if err != nil || r.Status != want {
+			t.Fatalf("%s %s: %v %v", method, rng, r, err)
+		}
+		return r
+	}
+	some := func() {
+		for n := frames + 10; frames < n; {
+			m, f, err := c.Next()
+			if err != nil {
+				t.Fatal(err)
+			}
+			look(m, f)
+		}
+	}
+	do(rtsp.Pause, "", rtsp.NotValidInThisState)
+	do(rtsp.Play, "npt=0-", 200)
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	some()
+	do(rtsp.Pause, "", 200)
+	do(rtsp.Play, "smpte=1-", rtsp.InvalidRange)
+	do(rtsp.Play, "npt=100-", 200)
+	some()
+	do(rtsp.GetParameter, "", 200)
+	do(rtsp.TearDown, "", 200)
+	do(rtsp.Play, "", rtsp.SessionNotFound)
+	if jumps > 0 {
+		t.Errorf("%d leaps in %d frames", jumps, frames)
+	}
+	b.rules()
+}
+
+func TestWhatAFrontTurnsDown(t *testing.T) {
+	b := newBench(t, 1, nil)
+	tcp := "RTP/AVP/TCP;unicast;interleaved=0-1"
+	base := "rtsp://" + b.addr
+	for name, c := range map[string]struct {
+		in     string
+		status int
+	}{
+		"no such title":    {"SETUP " + base + "/clips/none RTSP/1.0\r\nCSeq: 1\r\nTransport: " + tcp + "\r\n\r\n", 404},
+		"no such group":    {"SETUP " + base + "/none/vents RTSP/1.0\r\nCSeq: 1\r\nTransport: " + tcp + "\r\n\r\n", 404},
+		"no such track":    {"SETUP " + base + "/clips/vents/track9 RTSP/1.0\r\nCSeq: 1\r\nTransport: " + tcp + "\r\n\r\n", 404},
+		"UDP only":         {"SETUP " + base + "/clips/vents RTSP/1.0\r\nCSeq: 1\r\nTransport: RTP/AVP;client_port=5-6\r\n\r\n", 461},
+		"other version":    {"OPTIONS * RTSP/2.0\r\nCSeq: 1\r\n\r\n", 505},
+		"no CSeq":          {"OPTIONS * RTSP/1.0\r\n\r\n", 400},
+		"required feature": {"OPTIONS * RTSP/1.0\r\nCSeq: 1\r\nRequire: magic\r\n\r\n", 551},
+		"unknown session":  {"PLAY " + base + "/clips/vents RTSP/1.0\r\nCSeq: 1\r\nSession: x\r\n\r\n", 454},
+		"recording":        {"RECORD " + base + "/clips/vents RTSP/1.0\r\nCSeq: 1\r\nSession: x\r\n\r\n", 405},
+		"no such method":   {"DANCE * RTSP/1.0\r\nCSeq: 1\r\n\r\n", 501},
+		"broken":           {"SETUP\r\n\r\n", 400},
+		"10,000 headers":   {"PLAY x RTSP/1.0\r\nCSeq: 5\r\n" + strings.Repeat("A: b\r\n", 10000) + "\r\n", 413},
+		"parameters":       {"SET_PARAMETER " + base + "/clips/vents RTSP/1.0\r\nCSeq: 1\r\nContent-Length: 2\r\n\r\na:", 451},
+		"options":          {"OPTIONS * RTSP/1.0\r\nCSeq: 1\r\n\r\n", 200},
+		"alive":            {"GET_PARAMETER * RTSP/1.0\r\nCSeq: 1\r\n\r\n", 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn := b.dial()
+			go conn.Write([]byte(c.in))
+			m, _, err := conn.Next()
+			if err != nil || m.Status != c.status {
+				t.Fatalf("%+v %v, want %d", m, err, c.status)
+			}
+		})
+	}
+	// A frame on a channel that was never set up, and half a request, disturb nobody.
+	c := b.dial()
+	c.Write(append(rtsp.AppendFrame(nil, 9, []byte("stray")), "SETUP rtsp"...))
+	c.Close()
+	if _, err := player.Watch(context.Background(), b.want("clips")); err != nil {
+		t.Error(err)
+	}
+	b.rules()
+}
+
+func TestListDropsABoxWithSessionsOnIt(t *testing.T) {
+	b := newBench(t, 2, nil)
+	type end struct {
+		seen player.Seen
+		err  error
+	}
+	ends, playing := make(chan end, 1), make(chan struct{})
+	w := b.want("clips")
+	w.Watch, w.Live = 2.2, func(player.Seen) {
+		select {
+		case <-playing:
+		default:
+			close(playing)
+		}
+	}
+	go func() {
+		seen, err := player.Watch(context.Background(), w)
+		ends <- end{seen, err}
+	}()
+	<-playing
+	on := 0
+	for i, x := range b.boxes {
+		if x.Sessions() > 0 {
+			on = i
+		}
+	}
+	b.wit.Told("front-0", on+1, false, b.now())
+	b.Boxes(true, b.terms.Boxes[1-on:2-on])
+	for range 10 {
+		if seen, err := player.Watch(context.Background(), b.want("clips")); err != nil {
+			t.Fatal(seen, err)
+		}
+	}
+	if n := b.boxes[on].Count().Setups; n != 1 {
+		t.Errorf("%d SETUPs at a box that left the list", n)
+	}
+	if e := <-ends; e.err != nil || e.seen.Lost+e.seen.Jumps > 0 {
+		t.Errorf("the session there: %+v %v", e.seen, e.err)
+	}
+	b.rules()
+}
+
+func TestShortBoxStepsItsSessionsDown(t *testing.T) {
+	b := newBench(t, 1, nil)
+	b.boxes[0].Slow(5) // 4,000 of 20,000 kB a second, for four sessions that ask 8,000
+	ctx := context.Background()
+	ends := make(chan player.Seen, 4)
+	for range 4 {
+		go func() {
+			w := b.want("clips")
+			w.Watch = 4
+			seen, err := player.Watch(ctx, w)
+			if err != nil {
+				t.Error(err)
+			}
+			ends <- seen
+		}()
+	}
+	rungs := 0
+	for range 4 {
+		s := <-ends
+		if rungs += s.Rungs; s.Lost+s.Doubled+s.Jumps > 0 {
+			t.Errorf("a change of rung broke the stream: %+v", s)
+		}
+	}
+	if rungs == 0 {
+		t.Error("no playing session was stepped down")
+	}
+	b.rules()
+}
+
+func TestHungBoxBreaksWithAPlainEnd(t *testing.T) {
+	b := newBench(t, 1, func(terms *settings.Terms, _ *box.Site) { terms.Bounds.KeepAlive = 0 })
+	w := b.want("clips")
+	w.Watch = 0
+	hang := make(chan struct{})
+	w.Live = func(player.Seen) {
+		select {
+		case <-hang:
+		default:
+			close(hang)
+		}
+	}
+	done := make(chan error, 1)
+	go func() {
+		_, err := player.Watch(context.Background(), w)
+		done <- err
+	}()
+	<-hang
+	b.boxes[0].Kill()
+	if err := <-done; err != nil && !strings.Contains(err.Error(), "broke") { // BYE, or the end of the connection
+		t.Error(err)
+	}
+	b.rules()
+}
+
+func TestDrainAndClose(t *testing.T) {
+	b := newBench(t, 1, nil)
+	playing, done := make(chan struct{}), make(chan error, 1)
+	w := b.want("clips")
+	w.Watch = 1.6
+	w.Live = func(player.Seen) {
+		select {
+		case <-playing:
+		default:
+			close(playing)
+		}
+	}
+	go func() {
+		_, err := player.Watch(context.Background(), w)
+		done <- err
+	}()
+	<-playing
+	drained := make(chan struct{})
+	go func() {
+		b.Drain(context.Background())
+		close(drained)
+	}()
+	b.eventually("new ones are busy-replied", func() bool {
+		seen, err := player.Watch(context.Background(), b.want("clips"))
+		return seen.Status == 503 && errors.Is(err, player.ErrNotServed)
+	})
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	<-drained
+	b.rules()
+}
+
+func TestCloseAnswersWhatIsOpen(t *testing.T) {
+	b := newBench(t, 1, nil)
+	b.boxes[0].HoldAnswers()
+	done := make(chan player.Seen, 1)
+	go func() {
+		seen, _ := player.Watch(context.Background(), b.want("clips"))
+		done <- seen
+	}()
+	b.eventually("a SETUP is out", func() bool { return b.boxes[0].Count().Setups == 1 })
+	b.Close()
+	if seen := <-done; seen.Status != 504 {
+		t.Errorf("%+v", seen)
+	}
+	b.boxes[0].Unhang()
+	b.rules()
+}
