--- /dev/null
+++ b/choice/limits/limits.go
@@ -0,0 +1,34 @@
+// Package limits holds the bounds by which one front keeps itself and its peers from harm where its settings name
+// none. It does no I/O.
+package limits
+
+// Bounds are a front's own limits.
+type Bounds struct {
+	Connections    int     // of viewers, in all
+	Sessions       int     // in all; more are busy-replied
+	BoxConnections int     // to one box
+	Queue          int     // bytes of media that wait for one viewer
+	ViewerIdle     float64 // seconds after which an unheard viewer is gone
+	KeepAlive      float64 // seconds between signs of life to a box
+	ConnectTimeout float64 // seconds for a connection to a box
+	ProbeTimeout   float64 // seconds for a probe's answer
+	WriteStall     float64 // seconds that one write to a viewer may take
+}
+
+// Usual are the bounds where none are set.
+var Usual = Bounds{
+	// Two descriptors a session: 4,000 sessions stay under half of the 20,000 that a usual service may open, and a
+	// front of the users' carries a hundredth of that.
+	Connections: 5000, Sessions: 4000,
+	// A box of 20 places, drains and probes beside; ten times that for boxes many times as large.
+	BoxConnections: 200,
+	// Half a second of the users' fastest rung at 2.5 MB a second is 1.25 MB; a viewer further behind has stalled
+	// for longer than its player's own buffer bridges, and what it missed is old.
+	Queue: 1 << 20,
+	// RFC 2326's own session timeout, and a third of it, so that two signs of life may get lost.
+	ViewerIdle: 60, KeepAlive: 20,
+	// What the users' boxes are given now for both; the way there and back takes up to 5 ms.
+	ConnectTimeout: 0.25, ProbeTimeout: 0.25,
+	// A viewer that takes nothing at all for so long is gone: twice the longest stall its player would wait through.
+	WriteStall: 10,
+}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/goleak"
 
 	"rainhaven/choice"
+	"rainhaven/choice/limits"
 	"rainhaven/internal/front"
 	"rainhaven/internal/lab/box"
 	"rainhaven/internal/lab/player"
@@ -52,7 +53,7 @@
 		SpareSetups: 20, SetupShare: 0.1, SetupWindow: 10},
 		Groups: []settings.Group{{Name: "clips", SetupTimeout: 3, Rates: b.site.Ladder}, {Name: "exam", SetupTimeout: 2, Rates: b.site.Ladder}},
 		Titles: map[string]settings.Title{"vents": {Span: boxes}},
-		Bounds: settings.Bounds{Connections: 1000, Sessions: 1000, BoxConnections: 200, Queue: 1 << 18, ViewerIdle: 60,
+		Bounds: limits.Bounds{Connections: 1000, Sessions: 1000, BoxConnections: 200, Queue: 1 << 18, ViewerIdle: 60,
 			KeepAlive: 20, ConnectTimeout: 0.25, ProbeTimeout: 0.25, WriteStall: 5}}
 	if change != nil {
 		change(&b.terms, b.site)
--- a/internal/settings/terms.go
+++ b/internal/settings/terms.go
@@ -4,6 +4,7 @@
 
 import (
 	"rainhaven/choice"
+	"rainhaven/choice/limits"
 )
 
 // Terms are what one front runs by.
@@ -19,7 +20,8 @@
 	Zones   []string
 	Kinds   []string
 
-	Bounds Bounds
+	Bounds limits.Bounds
+	Grace  float64 // seconds after which nothing new may reach a box that drains; the module needs none of it
 }
 
 // Group is what a front needs of a service group beside the module's terms.
@@ -41,19 +43,6 @@
 	Address string
 }
 
-// Bounds are the front's own limits.
-type Bounds struct {
-	Connections    int     // of viewers
-	Sessions       int     // in all
-	BoxConnections int     // to one box
-	Queue          int     // bytes of media that wait for one viewer
-	ViewerIdle     float64 // seconds after which an unheard viewer is gone
-	KeepAlive      float64 // seconds between signs of life to boxes
-	ConnectTimeout float64 // seconds
-	ProbeTimeout   float64 // seconds
-	WriteStall     float64 // seconds that one write to a viewer may take
-}
-
 // GroupIndex finds a service group by its name, -1 where there is none.
 func (t *Terms) GroupIndex(name string) int {
 	for i, g := range t.Groups {
