--- /dev/null
+++ b/cmd/rainhaven/lab.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"rainhaven/internal/lab/day"
+	"rainhaven/internal/lab/player"
+	"rainhaven/internal/rtsp"
+	"rainhaven/internal/settings"
+)
+
+func playCommand() *cobra.Command {
+	var asJSON bool
+	var out string
+	var watch, timeout time.Duration
+	var bandwidth float64
+	var tracks int
+	c := &cobra.Command{Use: "play URL", Short: "Play a session and look at every frame",
+		Example: "  rainhaven play rtsp://127.0.0.1:8554/fault-clips/demo\n  rainhaven play --for 10s --json rtsp://127.0.0.1:8554/fault-clips/demo", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			p, err := rtsp.ParsePlace(args[0])
+			if err != nil {
+				return fmt.Errorf("%w; rtsp://host:port/group/title would be right", err)
+			}
+			if _, _, err := net.SplitHostPort(p.Host); err != nil {
+				p.Host = net.JoinHostPort(p.Host, "554")
+			}
+			w := player.Want{Address: p.Host, Group: p.Group, Title: p.Title, SetupTimeout: timeout.Seconds(), Watch: watch.Seconds(),
+				Bandwidth: bandwidth, Tracks: tracks, Describe: true}
+			if out != "" {
+				f, err := os.Create(out)
+				if err != nil {
+					return failure{exitFailed, err}
+				}
+				defer f.Close()
+				w.Save = f
+			}
+			if !asJSON {
+				w.Live = func(s player.Seen) {
+					fmt.Fprintf(c.OutOrStdout(), "rung %d  share %.3f  frames %d  worst gap %.0f ms  lost %d\n", s.Rung, s.Share(), s.Frames, s.WorstGap*1000, s.Lost)
+				}
+			}
+			seen, err := player.Watch(c.Context(), w)
+			if asJSON {
+				json.NewEncoder(c.OutOrStdout()).Encode(struct {
+					player.Seen
+					DeliveredShare float64
+					Error          string `json:",omitempty"`
+				}{seen, seen.Share(), errText(err)})
+			} else {
+				fmt.Fprintf(c.OutOrStdout(), "answer %d after %.1f ms, first frame after %.1f ms, %d frames, share %.3f, worst gap %.0f ms, lost %d, doubled %d, rung changes %d\n",
+					seen.Status, seen.AnswerIn*1000, seen.FirstFrame*1000, seen.Frames, seen.Share(), seen.WorstGap*1000, seen.Lost, seen.Doubled, seen.Rungs)
+			}
+			if err != nil {
+				return failure{exitFailed, err}
+			}
+			return nil
+		}}
+	c.Flags().BoolVar(&asJSON, "json", false, "what was seen, as one JSON object")
+	c.Flags().StringVar(&out, "out", "", "file for the first track's payloads")
+	c.Flags().DurationVar(&watch, "for", 0, "media to watch; 0 is to the end")
+	c.Flags().DurationVar(&timeout, "setup-timeout", 5*time.Second, "how long to wait for the answer")
+	c.Flags().Float64Var(&bandwidth, "bandwidth", 0, "bits a second that this viewer can take; 0 is not told")
+	c.Flags().IntVar(&tracks, "tracks", 2, "1 for video, 2 with sound")
+	return c
+}
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func dayCommand() *cobra.Command {
+	var sabotage, level, format string
+	var asJSON, quiet bool
+	var shorten float64
+	var seed uint64
+	c := &cobra.Command{Use: "day FILE", Short: "Play a scripted day on loopback sockets and judge the rules from the traffic",
+		Example: "  rainhaven day examples/bad-day.star\n  rainhaven day --sabotage drains examples/bad-day.star",
+		Long: `Plays a scripted day: stand-in boxes, fronts, viewers and troubles. The report's last line counts what was taken and
+answered and how often each rule was broken; the exit status is 1 if any was. With --sabotage the fronts are made to
+break a rule, and the status is 1 as it must be.`, Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			log, err := logger(level, format)
+			if err != nil {
+				return err
+			}
+			s, err := day.ParseSabotage(sabotage)
+			if err != nil {
+				return err
+			}
+			d, err := day.Read(args[0])
+			if err != nil {
+				var wrong settings.Mistakes
+				if errors.As(err, &wrong) {
+					return err
+				}
+				return failure{exitFailed, err}
+			}
+			if shorten <= 0 || shorten > 1 {
+				return fmt.Errorf("--shorten %v: above 0 and at most 1 would be right", shorten)
+			}
+			d.Shorten(shorten)
+			if seed != 0 {
+				d.Seed = seed
+			}
+			o := day.Options{Log: log, Sabotage: s}
+			if !quiet && !asJSON {
+				o.Tell = func(at float64, what string) { fmt.Fprintf(c.OutOrStdout(), "%6.1f s  %s\n", at, what) }
+			}
+			r, err := day.Run(c.Context(), d, o)
+			if err != nil {
+				return failure{exitFailed, err}
+			}
+			if asJSON {
+				json.NewEncoder(c.OutOrStdout()).Encode(r)
+			} else {
+				r.Write(c.OutOrStdout())
+			}
+			if n := r.Verdict.Broken(); n > 0 {
+				return failed("rules were broken %d times", n)
+			}
+			return nil
+		}}
+	c.Flags().StringVar(&sabotage, "sabotage", "", "have the fronts break a rule: answers, doubles, drains, cold, terms, ration")
+	c.Flags().BoolVar(&asJSON, "json", false, "the report as one JSON object")
+	c.Flags().BoolVarP(&quiet, "quiet", "q", false, "the report only")
+	c.Flags().Float64Var(&shorten, "shorten", 1, "play the day in this share of its length")
+	c.Flags().Uint64Var(&seed, "seed", 0, "another seed than the script's")
+	c.Flags().StringVar(&level, "log", "error", "least level logged: debug, info, warn, error")
+	c.Flags().StringVar(&format, "log-format", "console", "form of the log: json or console")
+	return c
+}
--- /dev/null
+++ b/cmd/rainhaven/serve.go
@@ -0,0 +1,271 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+
+	"rainhaven/choice"
+	"rainhaven/internal/front"
+	"rainhaven/internal/lab/box"
+	"rainhaven/internal/lab/player"
+	"rainhaven/internal/settings"
+)
+
+func frontCommand() *cobra.Command {
+	var config, level, format string
+	var drain time.Duration
+	c := &cobra.Command{Use: "front --config FILE", Short: "Run a front until it is told to stop; it drains first",
+		Example: "  rainhaven front --config examples/front.star\n  rainhaven front --config examples/front.star --log debug --log-format console",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			log, err := logger(level, format)
+			if err != nil {
+				return err
+			}
+			defer log.Sync()
+			t, err := settings.ReadTerms(config)
+			if err != nil {
+				var wrong settings.Mistakes
+				if errors.As(err, &wrong) {
+					return err
+				}
+				return failure{exitFailed, err}
+			}
+			return serveFront(c.Context(), t, log, drain)
+		}}
+	c.Flags().StringVarP(&config, "config", "c", "", "settings, a Starlark script")
+	c.Flags().DurationVar(&drain, "drain", 30*time.Second, "how long sessions may play on once the front is told to stop")
+	c.MarkFlagRequired("config")
+	logFlags(c, &level, &format)
+	return c
+}
+
+// serveFront runs a front until the context is done, then drains it.
+func serveFront(ctx context.Context, t settings.Terms, log *zap.Logger, drain time.Duration) error {
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	l, err := net.Listen("tcp", t.Listen)
+	if err != nil {
+		return failed("the address for viewers: %w", err)
+	}
+	f, err := front.New(t, front.Options{Log: log, Registry: reg})
+	if err != nil {
+		l.Close()
+		return failure{exitFailed, err}
+	}
+	var work sync.WaitGroup
+	defer work.Wait()
+	defer f.Close()
+	if t.Admin != "" {
+		stop, err := admin(t.Admin, f, reg, &work)
+		if err != nil {
+			l.Close()
+			return failed("the address for health and metrics: %w", err)
+		}
+		defer stop()
+	}
+	served := make(chan error, 1)
+	work.Go(func() { served <- f.Serve(l) })
+	log.Info("serving", zap.String("front", t.Name), zap.String("listen", l.Addr().String()), zap.String("admin", t.Admin), zap.Int("boxes", len(t.Boxes)))
+	select {
+	case err := <-served:
+		return failed("taking viewers: %w", err)
+	case <-ctx.Done():
+	}
+	log.Info("draining", zap.Int("sessions", f.Sessions()), zap.Duration("at most", drain))
+	wait, cancel := context.WithTimeout(context.Background(), drain)
+	defer cancel()
+	f.Drain(wait)
+	log.Info("stopping", zap.Int("sessions", f.Sessions()))
+	return nil
+}
+
+// admin serves health and metrics on an address of their own.
+func admin(address string, f *front.Front, reg *prometheus.Registry, work *sync.WaitGroup) (stop func(), err error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		ok := f.Ready(500 * time.Millisecond)
+		if !ok {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		fmt.Fprintf(w, "{\"ready\": %v}\n", ok)
+	})
+	s := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second}
+	work.Go(func() { s.Serve(l) })
+	return func() { s.Close() }, nil
+}
+
+func boxCommand() *cobra.Command {
+	var listen string
+	var id, places, fps int
+	var link, thin float64
+	var cold bool
+	var rates []float64
+	c := &cobra.Command{Use: "box", Short: "Run a stand-in media server with made-up media",
+		Example: "  rainhaven box --listen 127.0.0.1:9001 --id 1 --link 20000", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if len(rates) == 0 || places < 1 || fps < 1 || link <= 0 {
+				return fmt.Errorf("--rates, --places, --fps and --link must be above 0")
+			}
+			start := time.Now()
+			base := float64(start.UnixNano()) / 1e9
+			site := &box.Site{Ladder: rates, Places: places, Length: func(string) float64 { return 0 }, WarmUp: 10, ColdShare: 0.4,
+				FallFactor: 4, FallTime: 1.5, ReportEvery: 0.4, NoteEvery: 3, SetupTime: 0.02, FPS: fps, Thin: thin,
+				Now: func() float64 { return base + time.Since(start).Seconds() }}
+			b, err := box.Start(site, id, listen, link, box.NewRack(link), cold)
+			if err != nil {
+				return failure{exitFailed, err}
+			}
+			defer b.Close()
+			fmt.Fprintf(c.ErrOrStderr(), "box %d on %s\n", id, b.Address)
+			<-c.Context().Done()
+			return nil
+		}}
+	c.Flags().StringVar(&listen, "listen", "127.0.0.1:0", "host:port")
+	c.Flags().IntVar(&id, "id", 1, "its number")
+	c.Flags().IntVar(&places, "places", 20, "streams at most")
+	c.Flags().IntVar(&fps, "fps", 25, "frames a second")
+	c.Flags().Float64Var(&link, "link", 10000, "kB a second of its link")
+	c.Flags().Float64Var(&thin, "thin", 1, "bytes sent over those of the rate")
+	c.Flags().Float64SliceVar(&rates, "rates", []float64{250, 600, 1200, 2500}, "kB a second of each rung")
+	c.Flags().BoolVar(&cold, "cold", false, "it has just started")
+	return c
+}
+
+// tryTerms are a front before six boxes, with nothing to configure.
+func tryTerms(boxes []settings.Box, rates []float64) settings.Terms {
+	s := settings.Read("try", []byte(`
+front(name = "try", listen = "127.0.0.1:0")
+kind(name = "small", places = 20)
+ladder(rates = [60, 125, 250, 500])
+group(name = "fault-clips", utility = 2, start_target = 1, setup_timeout = 3, floor = 1)
+group(name = "grower-guides", start_target = 1, setup_timeout = 5)
+fleet(links = 18000, uplink = 7000, cells = 6, racks = 3)
+title(name = "demo", span = 6)
+title(name = "vents", span = 4)
+box(id = 1, address = "127.0.0.1:1", cell = 0)
+`), settings.FrontForms)
+	t := settings.FrontTerms(s)
+	if len(s.Mistakes) > 0 {
+		panic(s.Mistakes) // a fault of this file's
+	}
+	t.Boxes = boxes
+	return t
+}
+
+func tryCommand() *cobra.Command {
+	var listen, level, format string
+	var length time.Duration
+	var viewers int
+	c := &cobra.Command{Use: "try", Short: "Run a front, six boxes and a few viewers here and now; prints a URL that any RTSP client can play",
+		Example: "  rainhaven try\n  rainhaven try --for 10s --viewers 12", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			log, err := logger(level, format)
+			if err != nil {
+				return err
+			}
+			defer log.Sync()
+			ctx := c.Context()
+			if length > 0 {
+				var cancel context.CancelFunc
+				ctx, cancel = context.WithTimeout(ctx, length)
+				defer cancel()
+			}
+			return try(ctx, c, log, listen, viewers)
+		}}
+	c.Flags().StringVar(&listen, "listen", "127.0.0.1:8554", "host:port for viewers")
+	c.Flags().DurationVar(&length, "for", 0, "end by itself after so long; 0 is when told")
+	c.Flags().IntVar(&viewers, "viewers", 6, "viewers of its own at a time")
+	logFlags(c, &level, &format)
+	c.Flags().Lookup("log").DefValue = "warn"
+	level = "warn"
+	return c
+}
+
+func try(ctx context.Context, c *cobra.Command, log *zap.Logger, listen string, viewers int) error {
+	start := time.Now()
+	base := float64(start.UnixNano()) / 1e9
+	site := &box.Site{Ladder: []float64{60, 125, 250, 500}, Places: 20, Length: func(string) float64 { return 0 }, ReportEvery: 0.4, NoteEvery: 3,
+		SetupTime: 0.02, Vary: 0.1, FPS: 25, Thin: 1, Now: func() float64 { return base + time.Since(start).Seconds() }}
+	var boxes []*box.Box
+	var list []settings.Box
+	racks := []*box.Rack{box.NewRack(7000), box.NewRack(7000), box.NewRack(7000)}
+	for i := range 6 {
+		b, err := box.Start(site, i+1, "", 3000, racks[i%3], false)
+		if err != nil {
+			return failure{exitFailed, err}
+		}
+		defer b.Close()
+		boxes = append(boxes, b)
+		list = append(list, settings.Box{Address: b.Address, Listing: choice.Listing{ID: choice.ServerID(i + 1), Cell: i, State: choice.Ready, Heft: 1}})
+	}
+	l, err := net.Listen("tcp", listen)
+	if err != nil {
+		return failed("the address for viewers: %w; another one goes with --listen 127.0.0.1:0", err)
+	}
+	f, err := front.New(tryTerms(list, site.Ladder), front.Options{Log: log})
+	if err != nil {
+		l.Close()
+		return failure{exitFailed, err}
+	}
+	var work sync.WaitGroup
+	defer work.Wait()
+	defer f.Close()
+	work.Go(func() { f.Serve(l) })
+	address := l.Addr().String()
+	out := c.OutOrStdout()
+	fmt.Fprintf(out, "rtsp://%s/fault-clips/demo plays with any RTSP client over TCP, or: rainhaven play rtsp://%s/fault-clips/demo\n", address, address)
+	for i := range viewers {
+		work.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				group := [2]string{"fault-clips", "grower-guides"}[(i+n)%2]
+				player.Watch(ctx, player.Want{Address: address, Group: group, Title: [2]string{"demo", "vents"}[n%2], Watch: float64(3 + (i*7+n*5)%9), Tracks: 1 + i%2})
+				select {
+				case <-ctx.Done():
+				case <-time.After(300 * time.Millisecond):
+				}
+			}
+		})
+	}
+	t := time.NewTicker(time.Second)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			fmt.Fprintln(out)
+			return nil
+		case <-t.C:
+		}
+		line := fmt.Sprintf("%3.0f s  sessions %d  at boxes", time.Since(start).Seconds(), f.Sessions())
+		frames := int64(0)
+		for _, b := range boxes {
+			n := b.Count()
+			frames += n.Frames
+			line += fmt.Sprintf(" %d", n.Sessions)
+		}
+		line += fmt.Sprintf("  frames %d", frames)
+		if s, err := os.Stdout.Stat(); err == nil && s.Mode()&os.ModeCharDevice != 0 {
+			fmt.Fprintf(out, "\r%s  ", line)
+		} else {
+			fmt.Fprintln(out, line)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/day/sabotage.go
@@ -0,0 +1,142 @@
+package day
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"rainhaven/choice"
+	"rainhaven/choice/session"
+	"rainhaven/internal/settings"
+)
+
+// Sabotage names the rule that a day's fronts are made to break, to see that the witness notices.
+type Sabotage string
+
+// The sabotages, one a rule: answers left out, SETUPs not withdrawn, SETUPs to a drained box, all SETUPs to a cold one,
+// rungs under the floor and no seats, no ration.
+const (
+	None    Sabotage = ""
+	Answers Sabotage = "answers"
+	Doubles Sabotage = "doubles"
+	Drains  Sabotage = "drains"
+	Cold    Sabotage = "cold"
+	Terms   Sabotage = "terms"
+	Ration  Sabotage = "ration"
+)
+
+// Sabotages are all of them.
+var Sabotages = []Sabotage{Answers, Doubles, Drains, Cold, Terms, Ration}
+
+// ParseSabotage reads a sabotage's name.
+func ParseSabotage(s string) (Sabotage, error) {
+	if slices.Contains(Sabotages, Sabotage(s)) || s == "" {
+		return Sabotage(s), nil
+	}
+	var names []string
+	for _, x := range Sabotages {
+		names = append(names, string(x))
+	}
+	return None, fmt.Errorf("there is no sabotage %q; %s would be right", s, strings.Join(names, ", "))
+}
+
+// Noticed tells whether a verdict shows the sabotage.
+func (s Sabotage) Noticed(r *Report) bool {
+	v := r.Verdict
+	switch s {
+	case Answers:
+		return v.Lost > 0
+	case Doubles:
+		return v.Doubled > 0
+	case Drains:
+		return v.DrainedLate > 0
+	case Cold:
+		return v.ColdOver > 0
+	case Terms:
+		return v.Floor > 0 && v.Seats > 0
+	case Ration:
+		return v.Ration > 0
+	}
+	return v.Broken() == 0
+}
+
+// terms spoils what a front is told of the rules.
+func (s Sabotage) terms(t *settings.Terms) {
+	f := &t.Figures
+	switch s {
+	case Cold:
+		f.WarmUp, f.FallTime = 0, 0
+	case Terms:
+		f.Groups = slices.Clone(f.Groups)
+		for i := range f.Groups {
+			f.Groups[i].Seats = 0
+		}
+	case Ration:
+		f.SetupWindow, f.MostSetups = 0, 6
+	}
+}
+
+// orders spoils what a front does.
+func (s Sabotage) orders(r *run) func(session.Orders) session.Orders {
+	if s == None {
+		return nil
+	}
+	return func(o session.Orders) session.Orders {
+		return &spoiler{Orders: o, s: s, r: r}
+	}
+}
+
+// spoiler is a front's orders, spoilt. A front's loop owns it.
+type spoiler struct {
+	session.Orders
+	s Sabotage
+	r *run
+	n int
+}
+
+// Answer leaves out one in twenty.
+func (s *spoiler) Answer(id choice.SessID, v session.Verdict, comeBack float64) {
+	if s.n++; s.s == Answers && s.n%20 == 0 {
+		return
+	}
+	s.Orders.Answer(id, v, comeBack)
+}
+
+// Withdraw leaves a SETUP out when the next one goes.
+func (s *spoiler) Withdraw(id choice.SessID, try int) {
+	if s.s != Doubles {
+		s.Orders.Withdraw(id, try)
+	}
+}
+
+// Setup sends it where it must not go, or at a rung that it must not have.
+func (s *spoiler) Setup(id choice.SessID, try int, box choice.ServerID, rung int) {
+	var is func(settings.Box) bool
+	now, warm := s.r.now(), s.r.d.Terms.Figures.WarmUp
+	switch s.s {
+	case Drains:
+		is = func(b settings.Box) bool { return b.State == choice.Draining }
+	case Cold:
+		is = func(b settings.Box) bool { return b.Born > 0 && now-b.Born < warm }
+	case Ration: // box after box that turns it away
+		is = func(b settings.Box) bool { return s.r.refusing[int(b.ID)] }
+	case Terms:
+		rung = 0
+	}
+	if is != nil {
+		box = s.r.find(is, box)
+	}
+	s.Orders.Setup(id, try, box, rung)
+}
+
+// find gives the first listed box that is so, or another.
+func (r *run) find(is func(settings.Box) bool, otherwise choice.ServerID) choice.ServerID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, b := range r.list {
+		if is(b) {
+			return b.ID
+		}
+	}
+	return otherwise
+}
