--- a/cmd/rainhaven/lab.go
+++ b/cmd/rainhaven/lab.go
@@ -6,11 +6,13 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/spf13/cobra"
 
 	"rainhaven/internal/lab/day"
+	"rainhaven/internal/lab/measure"
 	"rainhaven/internal/lab/player"
 	"rainhaven/internal/rtsp"
 	"rainhaven/internal/settings"
@@ -140,3 +142,38 @@
 	c.Flags().StringVar(&format, "log-format", "console", "form of the log: json or console")
 	return c
 }
+
+func measureCommand() *cobra.Command {
+	var asJSON bool
+	o := measure.Options{}
+	c := &cobra.Command{Use: "measure", Short: "Compare viewers through a front with the same ones straight at the boxes",
+		Example: "  rainhaven measure\n  rainhaven measure --sessions 1,100,1000 --setups 2000 --reps 5", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			self, err := os.Executable()
+			if err != nil {
+				return failure{exitFailed, err}
+			}
+			if o.Program == "" {
+				o.Program = self
+			}
+			if o.Setups < 1 || o.Reps < 1 || o.Seconds <= 0 || len(o.Sessions) == 0 || slices.Min(o.Sessions) < 1 {
+				return fmt.Errorf("--sessions, --setups, --reps and --seconds must be above 0")
+			}
+			rows, err := measure.Run(c.Context(), o, nil)
+			if err != nil {
+				return failure{exitFailed, err}
+			}
+			if asJSON {
+				return json.NewEncoder(c.OutOrStdout()).Encode(rows)
+			}
+			measure.Write(c.OutOrStdout(), rows)
+			return nil
+		}}
+	c.Flags().IntSliceVar(&o.Sessions, "sessions", []int{1, 100, 1000}, "playing sessions to measure under")
+	c.Flags().IntVar(&o.Setups, "setups", 1000, "set-ups timed, each way in turns")
+	c.Flags().IntVar(&o.Reps, "reps", 5, "transfers at full speed, each way in turns")
+	c.Flags().Float64Var(&o.Seconds, "seconds", 1, "length of a transfer")
+	c.Flags().StringVar(&o.Program, "program", "", "another build of rainhaven to run as front; this one by default")
+	c.Flags().BoolVar(&asJSON, "json", false, "the rows as JSON")
+	return c
+}
--- a/cmd/rainhaven/main.go
+++ b/cmd/rainhaven/main.go
@@ -62,7 +62,7 @@
 	if len(wrong) > 0 {
 		fmt.Fprintln(os.Stderr, wrong.Error())
 	} else {
-		fmt.Fprintln(os.Stderr, "rainhaven:", strings.ReplaceAll(err.Error(), "\n", "; "))
+		fmt.Fprintln(os.Stderr, "rainhaven:", strings.Join(strings.Fields(err.Error()), " ")) // one line
 	}
 	return code
 }
@@ -76,7 +76,7 @@
 		SilenceErrors: true, SilenceUsage: true,
 		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
 	}
-	root.AddCommand(frontCommand(), boxCommand(), playCommand(), dayCommand(), checkCommand(), tryCommand(), versionCommand())
+	root.AddCommand(frontCommand(), boxCommand(), playCommand(), dayCommand(), checkCommand(), tryCommand(), measureCommand(), versionCommand())
 	return root
 }
 
--- a/cmd/rainhaven/serve.go
+++ b/cmd/rainhaven/serve.go
@@ -69,12 +69,13 @@
 	defer work.Wait()
 	defer f.Close()
 	if t.Admin != "" {
-		stop, err := admin(t.Admin, f, reg, &work)
+		at, stop, err := admin(t.Admin, f, reg, &work)
 		if err != nil {
 			l.Close()
 			return failed("the address for health and metrics: %w", err)
 		}
 		defer stop()
+		t.Admin = at
 	}
 	served := make(chan error, 1)
 	work.Go(func() { served <- f.Serve(l) })
@@ -93,10 +94,10 @@
 }
 
 // admin serves health and metrics on an address of their own.
-func admin(address string, f *front.Front, reg *prometheus.Registry, work *sync.WaitGroup) (stop func(), err error) {
+func admin(address string, f *front.Front, reg *prometheus.Registry, work *sync.WaitGroup) (at string, stop func(), err error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, err
+		return "", nil, err
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
@@ -110,7 +111,7 @@
 	})
 	s := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second}
 	work.Go(func() { s.Serve(l) })
-	return func() { s.Close() }, nil
+	return l.Addr().String(), func() { s.Close() }, nil
 }
 
 func boxCommand() *cobra.Command {
--- a/internal/front/boxes.go
+++ b/internal/front/boxes.go
@@ -469,6 +469,7 @@
 	}
 	name := f.terms.Groups[x.group].Name
 	f.count.answers.WithLabelValues(name, v.String()).Inc()
+	f.count.answerIn.WithLabelValues(name).Observe(f.now() - x.asked)
 	slot := x.first
 	x.first = nil
 	if v != session.Served {
--- a/internal/front/viewer.go
+++ b/internal/front/viewer.go
@@ -50,6 +50,7 @@
 	place  rtsp.Place
 	tracks []track
 	stream *relay.Stream
+	asked  float64       // when
 	first  *slot         // of the SETUP that asked for it
 	asks   map[int]*slot // later requests, by number
 	plays  bool
@@ -320,7 +321,7 @@
 		v.status(s, rtsp.SessionNotFound)
 		return
 	}
-	x := &sess{id: newID(), viewer: v, group: g, place: p, tracks: []track{t}, first: s, asks: map[int]*slot{}}
+	x := &sess{id: newID(), viewer: v, asked: f.now(), group: g, place: p, tracks: []track{t}, first: s, asks: map[int]*slot{}}
 	x.stream = relay.NewStream(v.out, func(link, uplink float64) { f.post(func() { f.note(x, link, uplink) }) })
 	x.stream.Add(t.box, &relay.Track{RTP: t.low, RTCP: t.high, Clock: media[t.n].clock})
 	f.sess[x.id], v.sess[x.id] = x, x
--- a/internal/lab/box/box.go
+++ b/internal/lab/box/box.go
@@ -362,9 +362,8 @@
 
 // received is the tap: what came over the socket, before anything is made of it.
 func (b *Box) received(c *conn, m *rtsp.Message) {
-	if a := strings.TrimPrefix(m.Header.Get("User-Agent"), "rainhaven/"); a != "" {
-		c.peer = a
-	}
+	peer := strings.TrimPrefix(m.Header.Get("User-Agent"), "rainhaven/")
+	b.set(func() { c.peer = peer })
 	w := b.site.Witness
 	if w == nil {
 		return
@@ -376,7 +375,7 @@
 		if err != nil {
 			rung = len(b.site.Ladder) - 1
 		}
-		w.Setup(b.ID, c.num, m.CSeq(), b.site.Now(), strings.TrimPrefix(p.Query, "viewer="), c.peer, p.Group, p.Title, rung)
+		w.Setup(b.ID, c.num, m.CSeq(), b.site.Now(), strings.TrimPrefix(p.Query, "viewer="), peer, p.Group, p.Title, rung)
 	case m.Method == rtsp.SetParameter:
 		if r, err := strconv.Atoi(rtsp.ParseParameters(m.Body)["rung"]); err == nil {
 			w.Rung(b.ID, m.Session(), r, b.site.Now())
--- a/internal/lab/day/run.go
+++ b/internal/lab/day/run.go
@@ -257,7 +257,11 @@
 
 // quiet waits until no front and no box holds a session any more.
 func (r *run) quiet(ctx context.Context) {
-	end := time.Now().Add(quietTime)
+	wait := quietTime
+	if r.spoil != None {
+		wait = time.Second // what a spoilt front leaves behind goes by no rule
+	}
+	end := time.Now().Add(wait)
 	for time.Now().Before(end) && ctx.Err() == nil {
 		n := 0
 		for _, b := range r.boxes {
--- /dev/null
+++ b/internal/lab/measure/flat.go
@@ -0,0 +1,118 @@
+package measure
+
+import (
+	"encoding/binary"
+	"fmt"
+	"net"
+	"sync"
+
+	"rainhaven/internal/rtsp"
+)
+
+// flat is a source that sends frames as fast as they are taken.
+type flat struct {
+	l       net.Listener
+	address string
+	work    sync.WaitGroup
+	mu      sync.Mutex
+	conns   map[net.Conn]struct{} // emptied as they end
+}
+
+func listenFlat() (*flat, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	f := &flat{l: l, address: l.Addr().String(), conns: map[net.Conn]struct{}{}}
+	f.work.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			f.mu.Lock()
+			f.conns[c] = struct{}{}
+			f.mu.Unlock()
+			f.work.Go(func() {
+				f.serve(c)
+				c.Close()
+				f.mu.Lock()
+				delete(f.conns, c)
+				f.mu.Unlock()
+			})
+		}
+	})
+	return f, nil
+}
+
+func (f *flat) close() {
+	f.l.Close()
+	f.mu.Lock()
+	for c := range f.conns {
+		c.Close()
+	}
+	f.mu.Unlock()
+	f.work.Wait()
+}
+
+// serve answers all requests and, between PLAY and TEARDOWN, sends frames of 1,400 bytes.
+func (f *flat) serve(n net.Conn) {
+	c := rtsp.NewConn(n, rtsp.Bounds{})
+	var stop, stopped chan struct{}
+	halt := func() {
+		if stop != nil {
+			close(stop)
+			<-stopped
+			stop = nil
+		}
+	}
+	defer halt()
+	defer n.Close()
+	for {
+		m, _, err := c.Next()
+		if err != nil {
+			return
+		}
+		if m == nil {
+			continue
+		}
+		halt() // one writes at a time
+		r := rtsp.Response(m, rtsp.OK).With("Session", "flat").With("Transport", "RTP/AVP/TCP;unicast;interleaved=0-1")
+		if _, err := n.Write(r.Append(nil)); err != nil {
+			return
+		}
+		if m.Method == rtsp.Play {
+			stop, stopped = make(chan struct{}), make(chan struct{})
+			go send(n, stop, stopped)
+		}
+	}
+}
+
+func send(n net.Conn, stop, stopped chan struct{}) {
+	defer close(stopped)
+	var buf []byte
+	payload := make([]byte, 1388+12)
+	payload[0], payload[1] = 0x80, 96
+	for seq := uint16(0); ; {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		buf = buf[:0]
+		for range 40 {
+			seq++
+			binary.BigEndian.PutUint16(payload[2:], seq)
+			binary.BigEndian.PutUint32(payload[4:], uint32(seq)*90)
+			buf = rtsp.AppendFrame(buf, 0, payload)
+		}
+		if _, err := n.Write(buf); err != nil {
+			return
+		}
+	}
+}
+
+// String is the row on one line.
+func (r Row) String() string {
+	return fmt.Sprintf("%d playing: +%.2f ms at the median, relay %.2f of direct", r.Sessions, r.FrontP50-r.DirectP50, r.Ratio)
+}
--- /dev/null
+++ b/internal/lab/measure/measure.go
@@ -0,0 +1,405 @@
+// Package measure compares viewers that go through a front with the same ones straight at the boxes, in one run and in
+// turns: what a front adds to a set-up, what its relay carries, what a session takes of its memory. The front is a
+// process of its own; boxes and viewers share the measuring one.
+package measure
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"rainhaven/internal/lab/box"
+	"rainhaven/internal/rtsp"
+)
+
+// Options say what is measured.
+type Options struct {
+	Program  string // the rainhaven program that runs as front
+	Sessions []int  // playing sessions to measure under
+	Setups   int    // samples of set-ups, each way
+	Reps     int    // repetitions of a transfer, each way in turns
+	Seconds  float64
+}
+
+// Row is what was measured under so many playing sessions.
+type Row struct {
+	Sessions                      int
+	DirectP50, DirectP99          float64 // ms from SETUP to its answer, straight at a box
+	FrontP50, FrontP99, FrontP999 float64 // the same through the front
+	HeapPerSession, RSSPerSession float64 // bytes of the front's
+	SettleMean                    float64 // microseconds to settle a batch of events, the module's decisions included
+	DirectMB, FrontMB, Ratio      float64 // transfer at full speed, MB a second, medians over repetitions
+	RatioLow, RatioHigh           float64
+	Frames                        float64 // a second, of the playing sessions together
+}
+
+const groups = `
+kind(name = "large", places = 5000)
+ladder(rates = [100, 200])
+group(name = "clips", start_target = 2, setup_timeout = 5)
+fleet(links = 1000000000, uplink = 1000000000, cells = %d, racks = 1)
+setups(window = 0)
+title(name = "vents", span = %d)
+limits(connections = 20000, sessions = 20000, box_connections = 5000)
+`
+
+// front is a front's process.
+type front struct {
+	cmd           *exec.Cmd
+	listen, admin string
+	dir           string
+}
+
+// start runs a front before boxes.
+func start(ctx context.Context, program string, boxes []string) (*front, error) {
+	dir, err := os.MkdirTemp("", "rainhaven-measure")
+	if err != nil {
+		return nil, err
+	}
+	f := &front{dir: dir}
+	script := `front(name = "measured", listen = "127.0.0.1:0", admin = "127.0.0.1:0")` + fmt.Sprintf(groups, len(boxes), len(boxes))
+	for i, b := range boxes {
+		script += fmt.Sprintf("box(id = %d, cell = %d, address = %q)\n", i+1, i, b)
+	}
+	file := filepath.Join(dir, "front.star")
+	if err := os.WriteFile(file, []byte(script), 0o600); err != nil {
+		return nil, err
+	}
+	f.cmd = exec.CommandContext(ctx, program, "front", "--config", file, "--drain", "1s")
+	f.cmd.Cancel = func() error { return f.cmd.Process.Signal(syscall.SIGTERM) }
+	f.cmd.WaitDelay = 10 * time.Second
+	log, err := f.cmd.StderrPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := f.cmd.Start(); err != nil {
+		return nil, fmt.Errorf("starting a front: %w", err)
+	}
+	lines := bufio.NewScanner(log)
+	for lines.Scan() {
+		var l struct{ Msg, Listen, Admin string }
+		if json.Unmarshal(lines.Bytes(), &l) == nil && l.Msg == "serving" {
+			f.listen, f.admin = l.Listen, l.Admin
+			go io.Copy(io.Discard, log)
+			return f, nil
+		}
+	}
+	f.stop()
+	return nil, fmt.Errorf("the front said nothing of serving")
+}
+
+func (f *front) stop() {
+	f.cmd.Process.Signal(syscall.SIGTERM)
+	f.cmd.Wait()
+	os.RemoveAll(f.dir)
+}
+
+// metric reads one figure of the front's.
+func (f *front) metric(name string) (float64, error) {
+	r, err := http.Get("http://" + f.admin + "/metrics")
+	if err != nil {
+		return 0, err
+	}
+	defer r.Body.Close()
+	s := bufio.NewScanner(r.Body)
+	for s.Scan() {
+		if v, ok := strings.CutPrefix(s.Text(), name+" "); ok {
+			return strconv.ParseFloat(v, 64)
+		}
+	}
+	return 0, fmt.Errorf("the front tells no %s", name)
+}
+
+// viewer is one that measures.
+type viewer struct {
+	c       *rtsp.Conn
+	url     string
+	session string
+	cseq    int
+}
+
+func connect(address string) (*viewer, error) {
+	n, err := net.DialTimeout("tcp", address, 2*time.Second)
+	if err != nil {
+		return nil, err
+	}
+	return &viewer{c: rtsp.NewConn(n, rtsp.Bounds{}), url: "rtsp://" + address + "/clips/vents"}, nil
+}
+
+func (v *viewer) ask(method string, with ...string) error {
+	v.cseq++
+	m := rtsp.Request(method, v.url).With("CSeq", strconv.Itoa(v.cseq))
+	if v.session != "" {
+		m.With("Session", v.session)
+	}
+	for i := 0; i < len(with); i += 2 {
+		m.With(with[i], with[i+1])
+	}
+	r, err := v.c.RoundTrip(m, 10*time.Second, nil)
+	if err != nil {
+		return err
+	}
+	if r.Status != rtsp.OK {
+		return fmt.Errorf("%s: %d %s", method, r.Status, r.Reason)
+	}
+	if s := r.Session(); s != "" {
+		v.session = s
+	}
+	return nil
+}
+
+func (v *viewer) setup() error {
+	return v.ask(rtsp.Setup, "Transport", "RTP/AVP/TCP;unicast;interleaved=0-1", "Rung", "1")
+}
+
+// latency is the time of one set-up on a fresh connection.
+func latency(address string) (time.Duration, error) {
+	v, err := connect(address)
+	if err != nil {
+		return 0, err
+	}
+	defer v.c.Close()
+	from := time.Now()
+	if err := v.setup(); err != nil {
+		return 0, err
+	}
+	d := time.Since(from)
+	return d, v.ask(rtsp.TearDown)
+}
+
+// Run measures.
+func Run(ctx context.Context, o Options, tell func(Row)) ([]Row, error) {
+	begin := time.Now()
+	site := &box.Site{Ladder: []float64{100, 200}, Places: 5000, Length: func(string) float64 { return 0 }, ReportEvery: 0.5, NoteEvery: 3,
+		FPS: 25, Thin: 1, Now: func() float64 { return time.Since(begin).Seconds() }}
+	rack := box.NewRack(1e9)
+	var addresses []string
+	for i := range 4 {
+		b, err := box.Start(site, i+1, "", 1e9, rack, false)
+		if err != nil {
+			return nil, err
+		}
+		defer b.Close()
+		addresses = append(addresses, b.Address)
+	}
+	var rows []Row
+	for _, n := range o.Sessions {
+		row, err := under(ctx, o, n, addresses)
+		if err != nil {
+			return rows, fmt.Errorf("under %d sessions: %w", n, err)
+		}
+		rows = append(rows, row)
+		if tell != nil {
+			tell(row)
+		}
+	}
+	return rows, nil
+}
+
+// under measures with n sessions playing.
+func under(ctx context.Context, o Options, n int, boxes []string) (Row, error) {
+	row := Row{Sessions: n}
+	f, err := start(ctx, o.Program, boxes)
+	if err != nil {
+		return row, err
+	}
+	defer f.stop()
+	heap0, err := f.metric("go_memstats_heap_inuse_bytes")
+	if err != nil {
+		return row, err
+	}
+	stack0, _ := f.metric("go_memstats_stack_inuse_bytes")
+	rss0, _ := f.metric("process_resident_memory_bytes")
+	var frames atomic.Int64
+	var readers sync.WaitGroup
+	var playing []*viewer
+	defer func() {
+		for _, v := range playing {
+			v.c.Close()
+		}
+		readers.Wait()
+	}()
+	for range n {
+		v, err := connect(f.listen)
+		if err != nil {
+			return row, err
+		}
+		playing = append(playing, v)
+		if err := v.setup(); err != nil {
+			return row, err
+		}
+		if err := v.ask(rtsp.Play); err != nil {
+			return row, err
+		}
+		readers.Go(func() {
+			for {
+				m, _, err := v.c.Next()
+				if err != nil {
+					return
+				}
+				if m == nil {
+					frames.Add(1)
+				}
+			}
+		})
+	}
+	if err := pause(ctx, time.Second); err != nil {
+		return row, err
+	}
+	count0, _ := f.metric("rainhaven_settle_seconds_count")
+	sum0, _ := f.metric("rainhaven_settle_seconds_sum")
+	direct, through := hdrhistogram.New(1, 10_000_000, 3), hdrhistogram.New(1, 10_000_000, 3)
+	from, was := time.Now(), frames.Load()
+	for i := range o.Setups {
+		for _, w := range []struct {
+			address string
+			h       *hdrhistogram.Histogram
+		}{{boxes[i%len(boxes)], direct}, {f.listen, through}} {
+			d, err := latency(w.address)
+			if err != nil {
+				return row, err
+			}
+			w.h.RecordValue(d.Microseconds())
+		}
+		if ctx.Err() != nil {
+			return row, ctx.Err()
+		}
+	}
+	row.Frames = float64(frames.Load()-was) / time.Since(from).Seconds()
+	ms := func(h *hdrhistogram.Histogram, q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	row.DirectP50, row.DirectP99 = ms(direct, 50), ms(direct, 99)
+	row.FrontP50, row.FrontP99, row.FrontP999 = ms(through, 50), ms(through, 99), ms(through, 99.9)
+	count, _ := f.metric("rainhaven_settle_seconds_count")
+	sum, _ := f.metric("rainhaven_settle_seconds_sum")
+	if count > count0 {
+		row.SettleMean = (sum - sum0) / (count - count0) * 1e6
+	}
+	heap, _ := f.metric("go_memstats_heap_inuse_bytes")
+	stack, _ := f.metric("go_memstats_stack_inuse_bytes")
+	rss, _ := f.metric("process_resident_memory_bytes")
+	row.HeapPerSession = (heap + stack - heap0 - stack0) / float64(n)
+	row.RSSPerSession = (rss - rss0) / float64(n)
+	return row, o.transfers(ctx, &row, min(n, 100))
+}
+
+// transfers compares what comes through at full speed, on so many connections at once.
+func (o Options) transfers(ctx context.Context, row *Row, conns int) error {
+	src, err := listenFlat()
+	if err != nil {
+		return err
+	}
+	defer src.close()
+	f, err := start(ctx, o.Program, []string{src.address})
+	if err != nil {
+		return err
+	}
+	defer f.stop()
+	var d, t, ratios []float64
+	for range o.Reps {
+		a, err := transfer(ctx, src.address, conns, o.Seconds)
+		if err != nil {
+			return fmt.Errorf("straight: %w", err)
+		}
+		b, err := transfer(ctx, f.listen, conns, o.Seconds)
+		if err != nil {
+			return fmt.Errorf("through the front: %w", err)
+		}
+		d, t, ratios = append(d, a), append(t, b), append(ratios, b/a)
+	}
+	if len(ratios) == 0 {
+		return nil
+	}
+	slices.Sort(d)
+	slices.Sort(t)
+	slices.Sort(ratios)
+	row.DirectMB, row.FrontMB, row.Ratio = d[len(d)/2], t[len(t)/2], ratios[len(ratios)/2]
+	row.RatioLow, row.RatioHigh = ratios[0], ratios[len(ratios)-1]
+	return nil
+}
+
+// transfer is MB a second that come to so many viewers at once.
+func transfer(ctx context.Context, address string, conns int, seconds float64) (float64, error) {
+	var list []*viewer
+	defer func() {
+		for _, v := range list {
+			v.c.Close()
+		}
+	}()
+	for range conns {
+		v, err := connect(address)
+		if err != nil {
+			return 0, err
+		}
+		list = append(list, v)
+		if err := v.setup(); err != nil {
+			return 0, err
+		}
+	}
+	var bytes atomic.Int64
+	var all sync.WaitGroup
+	for _, v := range list {
+		all.Go(func() {
+			if v.ask(rtsp.Play) != nil {
+				return
+			}
+			for {
+				m, f, err := v.c.Next()
+				if err != nil {
+					return
+				}
+				if m == nil {
+					bytes.Add(int64(len(f.Whole)))
+				}
+			}
+		})
+	}
+	defer all.Wait()
+	if err := pause(ctx, 300*time.Millisecond); err != nil {
+		return 0, err
+	}
+	was, from := bytes.Load(), time.Now()
+	err := pause(ctx, time.Duration(seconds*1e9))
+	rate := float64(bytes.Load()-was) / time.Since(from).Seconds() / 1e6
+	for _, v := range list {
+		v.c.Close()
+	}
+	return rate, err
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Write prints rows as a table.
+func Write(w io.Writer, rows []Row) {
+	fmt.Fprintf(w, "%8s %10s %10s %10s %10s %11s %10s %9s %9s %9s %8s %17s\n", "playing", "direct p50", "direct p99", "front p50", "front p99",
+		"front p99.9", "settle", "heap/sess", "rss/sess", "direct", "front", "front/direct")
+	for _, r := range rows {
+		fmt.Fprintf(w, "%8d %8.2fms %8.2fms %8.2fms %8.2fms %9.2fms %8.1fus %7.1fkB %7.1fkB %6.0fMB/s %4.0fMB/s %5.2f (%.2f-%.2f)\n", r.Sessions, r.DirectP50,
+			r.DirectP99, r.FrontP50, r.FrontP99, r.FrontP999, r.SettleMean, r.HeapPerSession/1024, r.RSSPerSession/1024, r.DirectMB, r.FrontMB,
+			r.Ratio, r.RatioLow, r.RatioHigh)
+	}
+}
