Relay at full speed: growing read buffers, writes by the batch, a short wait for room

Cause: the front read a packet and a half at a time and woke its writer for each frame; a viewer slower than the source for a moment lost frames that had been read in vain; buffers were allocated anew under load.

--- a/choice/limits/limits.go
+++ b/choice/limits/limits.go
@@ -32,3 +32,12 @@
 	// A viewer that takes nothing at all for so long is gone: twice the longest stall its player would wait through.
 	WriteStall: 10,
 }
+
+// FullWait is how many seconds a box's media waits for room in a viewer's full queue before frames are dropped. A
+// viewer that keeps up on average empties its queue within a round trip or two; longer would hold up the box's other
+// answers on that connection, which are due within milliseconds.
+const FullWait = 0.05
+
+// ViewerLimited tells whether a session's media says nothing of its box, because the viewer's queue was full at instant
+// limited. The second is what shares are measured over.
+func ViewerLimited(now, limited float64) bool { return limited > 0 && now-limited < 1 }
--- a/internal/front/boxes.go
+++ b/internal/front/boxes.go
@@ -14,6 +14,7 @@
 
 	"rainhaven/choice"
 	"rainhaven/choice/hearing"
+	"rainhaven/choice/limits"
 	"rainhaven/choice/pool"
 	"rainhaven/choice/session"
 	"rainhaven/internal/relay"
@@ -118,6 +119,8 @@
 
 // read takes what a box sends until the connection ends.
 func (c *boxConn) read() error {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
 	for {
 		m, frame, err := c.conn.Next()
 		if err != nil {
@@ -125,7 +128,12 @@
 		}
 		if m == nil {
 			if s := c.stream.Load(); s != nil {
-				s.Frame(time.Since(c.f.began), frame.Channel, frame.Payload())
+				now := time.Since(c.f.began)
+				s.Out().Room(len(frame.Whole), int64(now), timer, time.Duration(limits.FullWait*1e9))
+				s.Frame(now, frame.Channel, frame.Payload())
+				if !c.conn.More() {
+					s.Out().Flush()
+				}
 			} else {
 				c.f.count.stray.Inc()
 			}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -41,6 +41,7 @@
 
 	"rainhaven/choice"
 	"rainhaven/choice/hearing"
+	"rainhaven/choice/limits"
 	"rainhaven/choice/pool"
 	"rainhaven/choice/session"
 	"rainhaven/internal/settings"
@@ -243,7 +244,9 @@
 	now := f.now()
 	for id, c := range f.atBox {
 		if c.sess.plays {
-			if at, media, ok := c.sess.stream.Progress(); ok {
+			if limits.ViewerLimited(time.Since(f.began).Seconds(), float64(c.sess.stream.Out().Limited.Load())/1e9) {
+				f.ear.Forget(id)
+			} else if at, media, ok := c.sess.stream.Progress(); ok {
 				f.ear.Progress(id, c.box, now, f.epoch+at.Seconds(), media)
 			}
 		}
--- a/internal/lab/box/box.go
+++ b/internal/lab/box/box.go
@@ -206,6 +206,7 @@
 				s.bye()
 			}
 		}
+		s.conn.out.Flush()
 	}
 	if b.site.NoteEvery > 0 && now-b.noted >= b.site.NoteEvery {
 		b.noted = now
@@ -216,6 +217,7 @@
 				told[s.conn.peer] = true
 				if low, ok := s.tracks[0]; ok {
 					s.conn.out.Frame(low+1, relay.AppendNote(nil, s.ssrc, b.said[0], b.said[1]), nil)
+					s.conn.out.Flush()
 				}
 			}
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -21,22 +21,26 @@
 type Out struct {
 	mu       sync.Mutex
 	wake     sync.Cond
-	pending  []byte
-	frames   int // bytes of frames among pending
-	messages int // bytes of messages among pending
+	pending  []byte  // nil while nothing waits
+	buffer   *[]byte // where pending comes from
+	frames   int     // bytes of frames among pending
+	messages int     // bytes of messages among pending
 	most     int
 	closed   bool
 	flush    bool // write what is pending, then close
 	err      error
-	Dropped  atomic.Int64 // frames
-	Sent     atomic.Int64 // bytes
+	room     chan struct{} // filled as Run takes what waits
+	behind   bool          // a wait for room was in vain; until half of what may wait is free
+	Limited  atomic.Int64  // when frames last had to wait or were dropped, nanoseconds on the caller's clock
+	Dropped  atomic.Int64  // frames
+	Sent     atomic.Int64  // bytes
 }
 
 const mostMessages = 64 << 10 // bytes of messages that wait; a pipelining viewer's eight answers take under 8 kB
 
 // NewOut makes a queue that holds so many bytes of frames at most, twice that while a write is under way.
 func NewOut(most int) *Out {
-	o := &Out{most: most}
+	o := &Out{most: most, room: make(chan struct{}, 1)}
 	o.wake.L = &o.mu
 	return o
 }
@@ -53,14 +57,18 @@
 		o.wake.Signal()
 		return ErrSlow
 	}
+	o.begin()
 	o.messages += len(b)
 	o.pending = append(o.pending, b...)
 	o.wake.Signal()
 	return nil
 }
 
-// Frame queues a frame; edit, which may be nil, may change the copy's payload in place. It tells whether there was
-// room.
+// Flush has what is queued written. Frames wait for it, so that those that came together leave in one write.
+func (o *Out) Flush() { o.wake.Signal() }
+
+// Frame queues a frame for the next Flush; edit, which may be nil, may change the copy's payload in place. It tells
+// whether there was room.
 func (o *Out) Frame(channel byte, payload []byte, edit func(payload []byte)) bool {
 	o.mu.Lock()
 	if o.closed || o.flush || o.frames+len(payload)+4 > o.most {
@@ -68,6 +76,7 @@
 		o.Dropped.Add(1)
 		return false
 	}
+	o.begin()
 	at := len(o.pending)
 	o.pending = append(o.pending, '$', channel, byte(len(payload)>>8), byte(len(payload)))
 	o.pending = append(o.pending, payload...)
@@ -76,16 +85,57 @@
 	}
 	o.frames += len(payload) + 4
 	o.mu.Unlock()
-	o.wake.Signal()
 	return true
 }
 
+// pace is how many bytes may wait before a source is slowed down: a write or two at full speed, still in the
+// processor's cache.
+const pace = 256 << 10
+
+// Room waits while much waits already, for the timer's time at most, and not at all where the last wait was in vain and
+// little has gone since: a peer that keeps up slows its source down for a moment; one that doesn't first fills the
+// queue and then loses frames, and its source's other words are not held up. now is noted in Limited for the latter.
+func (o *Out) Room(n int, now int64, timer *time.Timer, wait time.Duration) {
+	most := min(o.most, pace)
+	fits := func() bool {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		if o.frames <= most/2 {
+			o.behind = false
+		} else if o.behind {
+			o.Limited.Store(now)
+		}
+		return o.behind || o.closed || o.flush || o.frames+n <= most
+	}
+	if fits() {
+		return
+	}
+	o.Flush()
+	timer.Reset(wait)
+	defer timer.Stop()
+	for !fits() {
+		select {
+		case <-o.room:
+		case <-timer.C:
+			o.mu.Lock()
+			o.behind = true
+			o.mu.Unlock()
+			o.Limited.Store(now)
+			return
+		}
+	}
+}
+
 // Close ends the queue: what waits is dropped, Run returns.
 func (o *Out) Close() {
 	o.mu.Lock()
 	o.closed = true
 	o.mu.Unlock()
 	o.wake.Signal()
+	select {
+	case o.room <- struct{}{}:
+	default:
+	}
 }
 
 // Finish ends the queue once what waits is written.
@@ -103,13 +153,21 @@
 	return len(o.pending)
 }
 
-// idleBuffer is what a queue keeps when nothing waits: some frames' worth, so that a usual stream allocates nothing.
-const idleBuffer = 16 << 10
+// buffers holds what no queue needs just now. A queue takes one when something comes and gives it back once that is
+// written, so that a thousand paced streams share a few, and none allocates.
+var buffers = sync.Pool{New: func() any { b := make([]byte, 0, 16<<10); return &b }}
+
+// begin takes a buffer for the first bytes after a write. Called locked.
+func (o *Out) begin() {
+	if o.pending == nil {
+		o.buffer = buffers.Get().(*[]byte)
+		o.pending = (*o.buffer)[:0]
+	}
+}
 
 // Run writes what is queued to w until the queue is closed or a write fails, or takes longer than stall. It is the
 // goroutine that owns the connection's writing.
 func (o *Out) Run(w net.Conn, stall time.Duration) error {
-	var spare []byte
 	for {
 		o.mu.Lock()
 		for len(o.pending) == 0 && !o.closed && !o.flush {
@@ -117,14 +175,18 @@
 		}
 		if o.closed || len(o.pending) == 0 {
 			err := o.err
-			o.closed = true
+			o.closed, o.pending = true, nil
 			o.mu.Unlock()
 			return err
 		}
-		out := o.pending
-		o.pending, spare = spare[:0], nil
+		out, buffer := o.pending, o.buffer
+		o.pending, o.buffer = nil, nil
 		o.frames, o.messages = 0, 0
 		o.mu.Unlock()
+		select {
+		case o.room <- struct{}{}:
+		default:
+		}
 		if stall > 0 {
 			w.SetWriteDeadline(time.Now().Add(stall))
 		}
@@ -134,9 +196,8 @@
 			o.Close()
 			return err
 		}
-		if spare = out; cap(spare) > 4*idleBuffer && len(out) < cap(out)/4 {
-			spare = nil // grown by a stall that is over
-		}
+		*buffer = out
+		buffers.Put(buffer)
 	}
 }
 
@@ -184,6 +245,9 @@
 	return &Stream{out: out, tracks: map[byte]*Track{}, notes: notes}
 }
 
+// Out is the viewer's queue.
+func (s *Stream) Out() *Out { return s.out }
+
 // Add puts a track on a box's channel pair that starts at low.
 func (s *Stream) Add(low byte, t *Track) {
 	s.mu.Lock()
@@ -200,6 +264,7 @@
 		s.pass(h.channel, h.payload)
 	}
 	s.held, s.heldN = nil, 0
+	s.out.Flush()
 }
 
 // Progress is when the newest frame came in, on the clock that Frame was given, and the media seconds up to it; ok is
@@ -220,7 +285,7 @@
 	return t.lastSeq + 1, t.lastTS + t.gap, true
 }
 
-// Frame takes a frame from the box, received at now. The payload is not kept.
+// Frame takes a frame from the box, received at now. The payload is not kept. Out().Flush has it written.
 func (s *Stream) Frame(now time.Duration, channel byte, payload []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -332,6 +397,7 @@
 		binary.BigEndian.PutUint32(b[4:], t.ssrc)
 		s.out.Frame(t.RTCP, b[:], nil)
 	}
+	s.out.Flush()
 	s.open = false
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -96,6 +96,7 @@
 	report[0], report[1], report[3] = 0x80, 200, 6
 	binary.BigEndian.PutUint32(report[4:], 77)
 	s.Frame(1, 1, AppendNote(report, 77, 0.75, -1))
+	o.Flush()
 	in.Next()
 	_, f, err := in.Next()
 	if err != nil || f.Channel != 7 || len(f.Payload()) != 28 {
@@ -220,5 +221,8 @@
 		binary.BigEndian.PutUint16(p[2:], uint16(i))
 		binary.BigEndian.PutUint32(p[4:], i*3600)
 		s.Frame(1, 0, p)
+		if i%40 == 0 {
+			o.Flush()
+		}
 	}
 }
--- a/internal/rtsp/conn.go
+++ b/internal/rtsp/conn.go
@@ -1,7 +1,6 @@
 package rtsp
 
 import (
-	"bufio"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -10,21 +9,18 @@
 	"time"
 )
 
-var errBufferFull = bufio.ErrBufferFull
-
 // Conn reads messages and frames from a connection. It is read by one goroutine; writing is its owner's affair,
 // who appends Messages and frames to what it writes.
 type Conn struct {
 	net.Conn
-	br     *bufio.Reader
+	in     buffer
 	bounds Bounds
-	frame  []byte
 }
 
 // NewConn reads from c within bounds.
 func NewConn(c net.Conn, bounds Bounds) *Conn {
 	bounds = bounds.orUsual()
-	return &Conn{Conn: c, br: bufio.NewReaderSize(c, bounds.Line+2), bounds: bounds}
+	return &Conn{Conn: c, in: buffer{r: c}, bounds: bounds}
 }
 
 // Frame is an interleaved frame (RFC 2326, section 10.12). Whole holds its four bytes of header and its payload,
@@ -47,7 +43,7 @@
 // io.ErrUnexpectedEOF within one, *MalformedError, or the connection's. After an error nothing more can be read.
 func (c *Conn) Next() (*Message, Frame, error) {
 	for {
-		first, err := c.br.Peek(1)
+		first, err := c.in.peek(1)
 		if err != nil {
 			return nil, Frame{}, err
 		}
@@ -71,44 +67,36 @@
 }
 
 func (c *Conn) readFrame() (Frame, error) {
-	head, err := c.br.Peek(4)
-	if err != nil {
+	within := func(err error) error {
 		if errors.Is(err, io.EOF) {
-			err = io.ErrUnexpectedEOF
+			return io.ErrUnexpectedEOF
 		}
-		return Frame{}, err
+		return err
+	}
+	head, err := c.in.peek(4)
+	if err != nil {
+		return Frame{}, within(err)
 	}
 	n := int(binary.BigEndian.Uint16(head[2:]))
 	if n > c.bounds.Frame {
 		return Frame{}, malformed(0, "a frame of %d bytes", n)
 	}
-	f := Frame{Channel: head[1]}
-	// Most frames lie whole in the buffer and are not copied.
-	if n+4 <= c.br.Size() {
-		whole, err := c.br.Peek(n + 4)
-		if err != nil {
-			if errors.Is(err, io.EOF) {
-				err = io.ErrUnexpectedEOF
-			}
-			return Frame{}, err
-		}
-		f.Whole = whole
-		_, err = c.br.Discard(n + 4)
-		return f, err
-	}
-	if cap(c.frame) < n+4 {
-		c.frame = make([]byte, n+4)
-	}
-	c.frame = c.frame[:n+4]
-	if _, err := io.ReadFull(c.br, c.frame); err != nil {
-		return Frame{}, io.ErrUnexpectedEOF
+	whole, err := c.in.peek(n + 4)
+	if err != nil {
+		return Frame{}, within(err)
 	}
-	f.Whole = c.frame
-	return f, nil
+	c.in.discard(n + 4)
+	return Frame{Channel: whole[1], Whole: whole}, nil
+}
+
+// More tells whether another whole frame was received already, which Next gives without reading.
+func (c *Conn) More() bool {
+	b := c.in.b[c.in.from:c.in.to]
+	return len(b) >= 4 && b[0] == '$' && len(b) >= 4+int(binary.BigEndian.Uint16(b[2:]))
 }
 
 // Buffered is how many bytes were received and not yet read.
-func (c *Conn) Buffered() int { return c.br.Buffered() }
+func (c *Conn) Buffered() int { return c.in.buffered() }
 
 // RoundTrip sends a request and waits for its response; frames and requests meanwhile go to other, which may be
 // nil. It is for callers that do one thing at a time: tools, stand-ins and tests.
--- a/internal/rtsp/message.go
+++ b/internal/rtsp/message.go
@@ -271,17 +271,11 @@
 // errLine is a line longer than the limit.
 var errLine = errors.New("line too long")
 
-// readLine reads a line without its end: CR LF, or LF alone as section 15.1 has receivers take it.
+// readLine reads a line without its end: CR LF, or LF alone as section 15.1 has receivers take it. A line that a
+// deadline cut short stays whole for the next call.
 func (c *Conn) readLine() (string, error) {
-	// The buffer is at least as long as the limit, so a full buffer without an end is too long a line.
-	line, err := c.br.ReadSlice('\n')
-	if len(line) > c.bounds.Line {
-		return "", errLine
-	}
+	line, err := c.in.line(c.bounds.Line)
 	if err != nil {
-		if errors.Is(err, errBufferFull) {
-			return "", errLine
-		}
 		if errors.Is(err, io.EOF) && len(line) > 0 {
 			err = io.ErrUnexpectedEOF
 		}
@@ -359,7 +353,7 @@
 			return nil, fail(malformed(TooLarge, "a body of %d bytes", n))
 		}
 		m.Body = make([]byte, n)
-		if _, err := io.ReadFull(c.br, m.Body); err != nil {
+		if _, err := io.ReadFull(&c.in, m.Body); err != nil {
 			return nil, io.ErrUnexpectedEOF
 		}
 	}
