--- a/choice/session/session_test.go
+++ b/choice/session/session_test.go
@@ -219,6 +219,13 @@
 			w.do(func() { w.t.ViewerGone(id) })
 		}
 	}
+	for _, id := range w.order {
+		for n, a := range w.viewers[id].tries {
+			if a.held {
+				w.tb.Fatalf("%s: no TEARDOWN at once for what SETUP %d brought", id, n)
+			}
+		}
+	}
 	w.pass(10)
 	for _, id := range w.order {
 		v := w.viewers[id]
@@ -310,6 +317,26 @@
 	w.rest()
 }
 
+func TestRequestsOfAServedSessionGoOutAtOnce(t *testing.T) {
+	w := newWorld(t)
+	id := w.ask(1, "vents")
+	w.pass(0.3)
+	w.box(id, 1, 200, true)
+	for _, op := range []Op{Play, Pause} {
+		w.request(id, op)
+		if len(w.ops) != 1 {
+			t.Fatalf("%v: %d operations out", op, len(w.ops))
+		}
+		ops := w.ops
+		w.ops = nil
+		w.do(func() { ops[0](200) })
+		if n := len(w.viewers[id].asks); n != 0 {
+			t.Fatalf("%v: %d requests without reply", op, n)
+		}
+	}
+	w.rest()
+}
+
 func TestBoxesDroppedBeforeTheSetupLeft(t *testing.T) {
 	w := newWorld(t)
 	id := w.ask(1, "vents")
--- a/internal/front/boxes.go
+++ b/internal/front/boxes.go
@@ -37,6 +37,7 @@
 	sess      *sess
 	try       int
 	session   string // the box's name for it
+	rung      int    // asked for last
 	withdrawn bool
 	closed    bool
 }
@@ -266,7 +267,7 @@
 			f.table.BoxFailed(id, try)
 			return
 		}
-		c.sess, c.try = s, try
+		c.sess, c.try, c.rung = s, try, rung
 		c.stream.Store(s.stream)
 		f.atBox[id] = c
 		t := s.tracks[0]
@@ -373,6 +374,7 @@
 		m = rtsp.Request(rtsp.GetParameter, c.url(s, -1))
 	case session.SetRung:
 		f.count.rungs.Inc()
+		c.rung = arg
 		m = rtsp.Request(rtsp.SetParameter, c.url(s, -1)).With("Content-Type", "text/parameters")
 		m.Body = fmt.Appendf(nil, "rung: %d\r\n", arg)
 	case session.TearDown:
@@ -545,10 +547,13 @@
 	}
 	f.count.ends.WithLabelValues(why.String()).Inc()
 	f.log.Info("session over", zap.String("session", string(id)), zap.Stringer("why", why))
-	if why != session.ByViewer {
+	if why != session.ByViewer && x.stream != nil {
 		x.stream.Bye()
 	}
 	f.forget(x)
+	if x.viewer == nil {
+		return
+	}
 	for _, s := range x.asks { // none is left but by a fault; the connection must not stand still for it
 		x.viewer.status(s, rtsp.SessionNotFound)
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -52,6 +52,7 @@
 	Log      *zap.Logger
 	Registry prometheus.Registerer
 	Dial     func(ctx context.Context, address string) (net.Conn, error)
+	Handed   []Handed                            // sessions that an earlier front gave up
 	Spoil    func(session.Orders) session.Orders // for days that must fail: orders go through it
 }
 
@@ -132,6 +133,9 @@
 	f.ear = hearing.New(terms.Figures.NoteEvery)
 	f.keeper = pool.New(terms.Bounds.BoxConnections)
 	f.boxes(true, terms.Boxes)
+	for _, h := range o.Handed {
+		f.adopt(h)
+	}
 	f.work.Add(1)
 	go f.loop()
 	return f, nil
@@ -243,7 +247,7 @@
 func (f *Front) listen() {
 	now := f.now()
 	for id, c := range f.atBox {
-		if c.sess.plays {
+		if c.sess.plays && c.sess.stream != nil {
 			if limits.ViewerLimited(time.Since(f.began).Seconds(), float64(c.sess.stream.Out().Limited.Load())/1e9) {
 				f.ear.Forget(id)
 			} else if at, media, ok := c.sess.stream.Progress(); ok {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -45,7 +45,7 @@
 	b.wit = witness.New(witness.Terms{Groups: map[string]witness.Group{"clips": {SetupTimeout: 3, Floor: 1},
 		"exam": {SetupTimeout: 2, Paid: true}}, Grace: 0.5, AnswerBy: 0.04, Spare: 20, Share: 0.1, Window: 10})
 	b.site = &box.Site{Ladder: []float64{250, 500, 1000, 2000}, Scale: map[string]float64{"clips": 1}, Places: 100,
-		Length: func(string) float64 { return 0 }, ReportEvery: 0.1, NoteEvery: 1, FPS: 50, Thin: 0.02, Now: b.now, Witness: b.wit}
+		Length: func(string) float64 { return 0 }, ReportEvery: 0.1, NoteEvery: 1, FPS: 50, Thin: 0.02, Keep: 2, Now: b.now, Witness: b.wit}
 	b.terms = settings.Terms{Name: "front-0", Figures: choice.StartFigures{Seed: 3, Fronts: 1, Groups: []choice.ServiceGroup{
 		{Utility: 2, Scale: 1, StartTarget: 0.5, Floor: 1, Top: 3}, {Utility: 1, Scale: 1, StartTarget: 0.5, Top: 3, Paid: true}},
 		Ladder: b.site.Ladder, Cells: boxes, Racks: 1, FleetLinks: 20000 * float64(boxes), UplinkMean: 20000 * float64(boxes),
@@ -558,6 +558,65 @@
 	b.rules()
 }
 
+// A front hands its playing sessions to the next one: the box is not asked for a new one, the viewer goes on over a new
+// connection, and the module knows of it.
+func TestHandedOver(t *testing.T) {
+	b := newBench(t, 2, nil)
+	url := "rtsp://" + b.addr + "/clips/vents"
+	c := b.dial()
+	r, err := c.RoundTrip(b.setup("1", ""), 5*time.Second, nil)
+	if err != nil || r.Status != 200 {
+		t.Fatal(r, err)
+	}
+	id := r.Session()
+	if r, err = c.RoundTrip(rtsp.Request(rtsp.Play, url).With("CSeq", "2").With("Session", id), 5*time.Second, nil); err != nil || r.Status != 200 {
+		t.Fatal(r, err)
+	}
+	list := b.HandOver()
+	if len(list) != 1 || string(list[0].ID) != id {
+		t.Fatalf("handed over: %+v", list)
+	}
+	forged := list[0]
+	forged.ID, forged.Session = "forged", "no such session"
+	next, err := front.New(b.terms, front.Options{Handed: append(list, forged)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer next.Close()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go next.Serve(l)
+	b.addr = l.Addr().String()
+	d := b.dial()
+	frames := 0
+	look := func(m *rtsp.Message, f rtsp.Frame) {
+		if m == nil {
+			frames++
+		}
+	}
+	if r, err = d.RoundTrip(rtsp.Request(rtsp.Play, url).With("CSeq", "1").With("Session", id), 5*time.Second, look); err != nil || r.Status != 200 {
+		t.Fatal(r, err)
+	}
+	d.SetDeadline(time.Now().Add(5 * time.Second))
+	for frames < 10 {
+		m, f, err := d.Next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		look(m, f)
+	}
+	if n := b.boxes[0].Count().Setups + b.boxes[1].Count().Setups; n != 1 {
+		t.Errorf("%d SETUPs", n)
+	}
+	if r, err = d.RoundTrip(rtsp.Request(rtsp.TearDown, url).With("CSeq", "2").With("Session", id), 5*time.Second, look); err != nil || r.Status != 200 {
+		t.Fatal(r, err)
+	}
+	b.eventually("the next front holds nothing", func() bool { return next.Sessions() == 0 })
+	b.eventually("nor do the boxes", func() bool { return b.boxes[0].Sessions()+b.boxes[1].Sessions() == 0 })
+}
+
 func TestCloseAnswersWhatIsOpen(t *testing.T) {
 	b := newBench(t, 1, nil)
 	b.boxes[0].HoldAnswers()
--- a/internal/front/viewer.go
+++ b/internal/front/viewer.go
@@ -45,11 +45,12 @@
 // sess is a session as it goes over this front's sockets.
 type sess struct {
 	id     choice.SessID
-	viewer *viewer
+	viewer *viewer // nil while one that was handed over is not claimed
 	group  int
+	best   int // rung that it can use
 	place  rtsp.Place
 	tracks []track
-	stream *relay.Stream
+	stream *relay.Stream // nil as long
 	asked  float64       // when
 	first  *slot         // of the SETUP that asked for it
 	asks   map[int]*slot // later requests, by number
@@ -249,8 +250,11 @@
 // find gives the session that a request names: by its id, or, where a viewer pipelines before it was told one, the
 // only session of its connection.
 func (v *viewer) find(m *rtsp.Message) *sess {
-	if id := m.Session(); id != "" {
-		return v.sess[choice.SessID(id)]
+	if id := choice.SessID(m.Session()); id != "" {
+		if x := v.f.sess[id]; x != nil && x.viewer == nil {
+			v.claim(x)
+		}
+		return v.sess[id]
 	}
 	if len(v.sess) == 1 {
 		for _, s := range v.sess {
@@ -322,16 +326,26 @@
 		return
 	}
 	x := &sess{id: newID(), viewer: v, asked: f.now(), group: g, place: p, tracks: []track{t}, first: s, asks: map[int]*slot{}}
-	x.stream = relay.NewStream(v.out, func(link, uplink float64) { f.post(func() { f.note(x, link, uplink) }) })
-	x.stream.Add(t.box, &relay.Track{RTP: t.low, RTCP: t.high, Clock: media[t.n].clock})
-	f.sess[x.id], v.sess[x.id] = x, x
+	x.attach(v)
+	f.sess[x.id] = x
 	bandwidth, _ := strconv.ParseFloat(strings.TrimSpace(m.Header.Get("Bandwidth")), 64)
 	if !(bandwidth >= 0) || math.IsInf(bandwidth, 0) {
 		bandwidth = 0
 	}
+	x.best = session.BestRung(f.terms.Groups[g].Rates, bandwidth)
 	f.count.taken.WithLabelValues(f.terms.Groups[g].Name).Inc()
 	f.table.Ask(x.id, session.Ask{Group: g, Title: p.Title, StartCell: title.StartCell, Span: title.Span,
-		BestRung: session.BestRung(f.terms.Groups[g].Rates, bandwidth), Length: title.Length})
+		BestRung: x.best, Length: title.Length})
+}
+
+// attach gives a session its viewer, and the way of its media.
+func (x *sess) attach(v *viewer) {
+	f := v.f
+	x.viewer, v.sess[x.id] = v, x
+	x.stream = relay.NewStream(v.out, func(link, uplink float64) { f.post(func() { f.note(x, link, uplink) }) })
+	for _, t := range x.tracks {
+		x.stream.Add(t.box, &relay.Track{RTP: t.low, RTCP: t.high, Clock: media[t.n].clock})
+	}
 }
 
 // joins finds the session that a SETUP adds a track to: the one it names, or one of the same presentation whose first
@@ -380,7 +394,9 @@
 // forget drops a session whose end has been told.
 func (f *Front) forget(x *sess) {
 	delete(f.sess, x.id)
-	delete(x.viewer.sess, x.id)
+	if x.viewer != nil {
+		delete(x.viewer.sess, x.id)
+	}
 	f.ear.Forget(x.id)
 	x.plays = false
 }
--- a/internal/lab/box/box.go
+++ b/internal/lab/box/box.go
@@ -38,6 +38,7 @@
 	Vary        float64 // true rates lie so far above or below the ladder, as a share
 	FullAt      float64 // SETUPs are answered full while so much of the link is asked; 0 is never
 	FPS         int     // frames a second
+	Keep        float64 // seconds that a session is kept once its connection is gone
 	Thin        float64 // bytes sent over those of the rate: media is thinned to what one machine carries
 	Now         func() float64
 	Witness     *witness.Witness // may be nil
@@ -86,7 +87,8 @@
 	seq                     uint16
 	seqA                    uint16
 	base, ssrc              uint32
-	ended                   bool // BYE is sent
+	ended                   bool    // BYE is sent
+	lost                    float64 // when its connection was; 0 is not
 	frame                   uint64
 }
 
@@ -97,19 +99,10 @@
 	rtsp   *rtsp.Conn
 	out    *relay.Out
 	in     chan *rtsp.Message
-	change chan struct{} // something about its sessions changed
-	peer   string        // the front's name, by User-Agent
+	peer   string // the front's name, by User-Agent
 	closed bool
 }
 
-// tell wakes the worker that waits for its sessions to end.
-func (c *conn) tell() {
-	select {
-	case c.change <- struct{}{}:
-	default:
-	}
-}
-
 // Start opens a box on an address; an empty one picks a port of 127.0.0.1. A cold box warms up from now.
 func Start(site *Site, id int, address string, link float64, rack *Rack, cold bool) (*Box, error) {
 	if address == "" {
@@ -171,8 +164,11 @@
 // step moves media on by dt seconds.
 func (b *Box) step(dt float64) {
 	asked := b.foreign
-	for _, s := range b.streams {
-		if s.playing && !s.ended {
+	for id, s := range b.streams {
+		if s.lost > 0 && b.site.Now()-s.lost > b.site.Keep {
+			delete(b.streams, id)
+		}
+		if s.playing && !s.ended && s.lost == 0 {
 			asked += b.rate(s)
 		}
 	}
@@ -194,7 +190,7 @@
 	}
 	gap := 1 / float64(b.site.FPS)
 	for _, s := range b.streams {
-		if !s.playing || s.ended {
+		if !s.playing || s.ended || s.lost > 0 {
 			continue
 		}
 		s.media += dt * share
@@ -213,7 +209,7 @@
 		told := map[string]bool{}
 		for _, id := range slices.Sorted(keys(b.streams)) { // one session of each front's
 			s := b.streams[id]
-			if s.playing && !s.ended && !told[s.conn.peer] {
+			if s.playing && !s.ended && s.lost == 0 && !told[s.conn.peer] {
 				told[s.conn.peer] = true
 				if low, ok := s.tracks[0]; ok {
 					s.conn.out.Frame(low+1, relay.AppendNote(nil, s.ssrc, b.said[0], b.said[1]), nil)
@@ -317,10 +313,6 @@
 	}
 }
 
-// lateTime is how long a session that was set up on a connection whose front has closed its side is kept for a
-// TEARDOWN that comes another way.
-const lateTime = 5 * time.Second
-
 // serve answers one connection's requests in their order.
 func (b *Box) serve(c *conn) {
 	defer b.work.Done()
@@ -333,32 +325,6 @@
 	}
 	for range c.in { // the reader must not wait for a worker that is gone
 	}
-	late := time.NewTimer(lateTime)
-	defer late.Stop()
-	b.mu.Lock()
-	for {
-		left := false
-		for _, s := range b.streams {
-			left = left || s.conn == c
-		}
-		if !left || c.closed || b.down {
-			break
-		}
-		b.mu.Unlock()
-		select {
-		case <-late.C:
-			b.mu.Lock()
-			c.closed = true
-			continue
-		case <-b.quit:
-			b.mu.Lock()
-			c.closed = true
-			continue
-		case <-c.change:
-		}
-		b.mu.Lock()
-	}
-	b.mu.Unlock()
 	c.out.Finish()
 }
 
@@ -445,7 +411,7 @@
 				s.media, s.next = rg.Start, rg.Start
 			}
 		}
-		s.conn, s.playing = c, true
+		s.conn, s.playing, s.lost = c, true, 0
 		r.With("Range", rtsp.Range{Start: s.media, End: math.Inf(1)}.String())
 		var info []rtsp.RTPInfo
 		for n := range s.tracks {
@@ -467,7 +433,6 @@
 		s.rung = n
 	case rtsp.TearDown:
 		delete(b.streams, s.id)
-		s.conn.tell()
 	case rtsp.GetParameter:
 	default:
 		r.Status = rtsp.NotImplemented
@@ -553,12 +518,18 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c.closed = true
-	c.tell()
 	b.unhung.Broadcast()
 	delete(b.conns, c)
 	for id, s := range b.streams {
-		if s.conn == c {
-			b.drop(id)
+		if s.conn != c || s.lost > 0 {
+			continue
+		}
+		// It may go on over another connection for a while; to the front whose connection this was it is over.
+		if s.lost = b.site.Now(); b.site.Witness != nil {
+			b.site.Witness.Over(b.ID, id, s.lost)
+		}
+		if b.site.Keep <= 0 {
+			delete(b.streams, id)
 		}
 	}
 }
--- a/internal/lab/box/faults.go
+++ b/internal/lab/box/faults.go
@@ -83,7 +83,7 @@
 
 func (b *Box) take(n net.Conn) {
 	c := &conn{b: b, net: n, rtsp: rtsp.NewConn(n, rtsp.Bounds{}), out: relay.NewOut(queue),
-		in: make(chan *rtsp.Message, 32), change: make(chan struct{}, 1)}
+		in: make(chan *rtsp.Message, 32)}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.down {
--- a/internal/lab/day/run.go
+++ b/internal/lab/day/run.go
@@ -99,7 +99,7 @@
 	r.wit = witness.New(terms)
 	r.site = &box.Site{Ladder: f.Ladder, Scale: scale, Length: func(t string) float64 { return d.Terms.Titles[t].Length },
 		Places: int(terms.Places), WarmUp: f.WarmUp, ColdShare: f.ColdShare, FallFactor: f.FallFactor, FallTime: f.FallTime,
-		ReportEvery: d.report, NoteEvery: f.NoteEvery, SetupTime: d.setup, Vary: d.vary, FullAt: f.FullAt, FPS: d.fps, Thin: d.thin,
+		ReportEvery: d.report, NoteEvery: f.NoteEvery, SetupTime: d.setup, Vary: d.vary, FullAt: f.FullAt, FPS: d.fps, Thin: d.thin, Keep: 4,
 		Now: r.now, Witness: r.wit}
 	for range max(f.Racks, 1) {
 		r.racks = append(r.racks, box.NewRack(f.UplinkMean))
