Storms of faults on both sides, and never reuse a connection a box may still send on

Cause: with every tenth request to a box going wrong, some viewers got another viewer's media beside their own: a box that refused a TEARDOWN went on sending, and the front gave its connection to the next session.

--- a/choice/pool/pool.go
+++ b/choice/pool/pool.go
@@ -65,6 +65,16 @@
 	return true
 }
 
+// Clean tells whether a connection may carry another session after a box's last answer on it, of a SETUP or a TEARDOWN.
+// Against a box that answers an error and goes on sending the old session's media, which the next viewer would get:
+// only these answers prove that it holds nothing there. It covers SETUPs that failed halfway. Harm: a new connection.
+func Clean(status int, tearDown bool) bool {
+	if tearDown {
+		return status/100 == 2 || status == 454
+	}
+	return status == 453 || status == 503
+}
+
 // Put gives a connection back. It tells whether it is kept; else it is to be closed.
 func (k *Keeper) Put(id choice.ServerID, c Conn, now float64) bool {
 	b := k.boxes[id]
--- a/choice/pool/pool_test.go
+++ b/choice/pool/pool_test.go
@@ -101,3 +101,16 @@
 		}
 	})
 }
+
+func TestClean(t *testing.T) {
+	for _, c := range []struct {
+		status   int
+		tearDown bool
+		clean    bool
+	}{{200, true, true}, {454, true, true}, {500, true, false}, {455, true, false}, {453, false, true}, {503, false, true},
+		{500, false, false}, {404, false, false}} {
+		if got := Clean(c.status, c.tearDown); got != c.clean {
+			t.Errorf("%d, TEARDOWN %v: %v", c.status, c.tearDown, got)
+		}
+	}
+}
--- a/cmd/rainhaven/lab.go
+++ b/cmd/rainhaven/lab.go
@@ -177,3 +177,43 @@
 	c.Flags().BoolVar(&asJSON, "json", false, "the rows as JSON")
 	return c
 }
+
+func stormCommand() *cobra.Command {
+	var requests, seeds int
+	var first uint64
+	var rate float64
+	c := &cobra.Command{Use: "storm", Short: "Play drawn days of faults on both sides, seed after seed, and judge the rules",
+		Example: "  rainhaven storm --requests 2000 --seeds 20", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if requests < 1 || seeds < 1 || rate <= 0 {
+				return fmt.Errorf("--requests, --seeds and --rate must be above 0")
+			}
+			broken := 0
+			for seed := first; seed < first+uint64(seeds); seed++ {
+				d, err := day.Storm(seed, requests, rate)
+				if err != nil {
+					return failure{exitFailed, err}
+				}
+				r, err := day.Run(c.Context(), d, day.Options{})
+				if err != nil {
+					return failure{exitFailed, err}
+				}
+				v := r.Verdict
+				fmt.Fprintf(c.OutOrStdout(), "seed %d: %v; further SETUPs %d, busy-replied %d, torn down %d, given up %d, left at boxes %d\n", seed, v,
+					v.Further, v.Busy, v.TornDown, v.GivenUp, r.Left)
+				for _, n := range v.Notes {
+					fmt.Fprintln(c.OutOrStdout(), "  broken:", n)
+				}
+				broken += v.Broken() + r.Left
+			}
+			if broken > 0 {
+				return failed("rules were broken %d times", broken)
+			}
+			return nil
+		}}
+	c.Flags().IntVar(&requests, "requests", 2000, "first requests of viewers, about")
+	c.Flags().IntVar(&seeds, "seeds", 1, "how many days")
+	c.Flags().Uint64Var(&first, "first", 1, "the first seed")
+	c.Flags().Float64Var(&rate, "rate", 100, "requests a second")
+	return c
+}
--- a/internal/front/boxes.go
+++ b/internal/front/boxes.go
@@ -188,6 +188,17 @@
 	}
 }
 
+// leave gives the connection back if it is clean, else closes it.
+func (c *boxConn) leave(clean bool) {
+	if clean {
+		c.idle()
+		return
+	}
+	c.sess = nil
+	c.stream.Store(nil)
+	c.close()
+}
+
 func (f *Front) boxClosed(c *boxConn, err error) {
 	c.closed = true
 	delete(f.conns, c.num)
@@ -280,6 +291,10 @@
 
 func (c *boxConn) setupAnswered(s *sess, try int, m *rtsp.Message) {
 	f := c.f
+	status := 0
+	if m != nil {
+		status = m.Status
+	}
 	switch {
 	case m == nil:
 		f.count.setups.WithLabelValues("broken").Inc()
@@ -298,7 +313,7 @@
 		c.session = m.Session()
 	} else {
 		delete(f.atBox, s.id)
-		c.idle()
+		c.leave(pool.Clean(status, false))
 	}
 	f.table.BoxAnswered(s.id, try, m.Status, report(m))
 }
@@ -342,7 +357,7 @@
 				return
 			}
 			f.count.orphans.WithLabelValues("torn down").Inc()
-			c.idle()
+			c.leave(pool.Clean(m.Status, true))
 		})
 	})
 }
@@ -390,7 +405,7 @@
 			s.answer = m
 		case session.TearDown:
 			delete(f.atBox, id)
-			c.idle()
+			c.leave(pool.Clean(m.Status, true))
 		}
 		f.table.OpAnswered(id, try, op, arg, m.Status, report(m))
 	})
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -269,6 +269,21 @@
 		With("Transport", "RTP/AVP/TCP;unicast")
 }
 
+// A box that refuses a TEARDOWN goes on sending: the next viewer must not get it.
+func TestNextViewerGetsNothingOfTheLast(t *testing.T) {
+	b := newBench(t, 1, nil)
+	b.boxes[0].KeepSessions(1)
+	for range 2 {
+		w := b.want("clips")
+		w.Watch = 0.6
+		seen, err := player.Watch(context.Background(), w)
+		if err != nil || seen.Jumps+seen.Lost+seen.Doubled+seen.Rungs > 0 || seen.Frames > 40 { // 30 are its own
+			t.Fatalf("%+v %v", seen, err)
+		}
+	}
+	b.rules()
+}
+
 func TestAfterTheAnswerAndBeforePlay(t *testing.T) {
 	b := newBench(t, 2, nil)
 	c := b.dial()
--- a/internal/lab/box/box.go
+++ b/internal/lab/box/box.go
@@ -39,6 +39,7 @@
 	FullAt      float64 // SETUPs are answered full while so much of the link is asked; 0 is never
 	FPS         int     // frames a second
 	Keep        float64 // seconds that a session is kept once its connection is gone
+	Mischief    float64 // share of requests that meet a random fault (mischief.go)
 	Thin        float64 // bytes sent over those of the rate: media is thinned to what one machine carries
 	Now         func() float64
 	Witness     *witness.Witness // may be nil
@@ -99,7 +100,8 @@
 	rtsp   *rtsp.Conn
 	out    *relay.Out
 	in     chan *rtsp.Message
-	peer   string // the front's name, by User-Agent
+	twist  func(*rtsp.Message) *rtsp.Message // what becomes of the next answer; nil is nothing
+	peer   string                            // the front's name, by User-Agent
 	closed bool
 }
 
@@ -354,6 +356,13 @@
 }
 
 func (b *Box) reply(c *conn, m *rtsp.Message, r *rtsp.Message) {
+	if c.twist != nil {
+		twist := c.twist
+		c.twist = nil
+		if r = twist(r); r == nil {
+			return
+		}
+	}
 	if w := b.site.Witness; w != nil && m.Method == rtsp.Setup {
 		w.SetupAnswered(b.ID, c.num, m.CSeq(), b.site.Now(), r.Status, r.Session())
 	}
@@ -381,6 +390,11 @@
 		b.breaks--
 		return false
 	}
+	if b.site.Mischief > 0 && b.rand.Float64() < b.site.Mischief {
+		if on, done := b.mischief(c, m); done {
+			return on
+		}
+	}
 	switch m.Method {
 	case rtsp.Setup:
 		return b.setup(c, m)
@@ -432,6 +446,11 @@
 		}
 		s.rung = n
 	case rtsp.TearDown:
+		if b.keeps > 0 {
+			b.keeps--
+			r.Status = rtsp.InternalError
+			break
+		}
 		delete(b.streams, s.id)
 	case rtsp.GetParameter:
 	default:
--- a/internal/lab/box/faults.go
+++ b/internal/lab/box/faults.go
@@ -41,7 +41,7 @@
 	aged     float64 // SETUPs take so many times longer
 
 	hung, held, down, fallen, refuses, deafToRungs bool
-	errors, breaks                                 int // of the next SETUPs
+	errors, breaks, keeps                          int // of the next SETUPs, SETUPs, TEARDOWNs
 
 	quit chan struct{}
 	work sync.WaitGroup
@@ -122,6 +122,9 @@
 // Errors has the next n SETUPs answered with an error.
 func (b *Box) Errors(n int) { b.set(func() { b.errors = n }) }
 
+// KeepSessions has the next n TEARDOWNs answered with an error; their sessions play on.
+func (b *Box) KeepSessions(n int) { b.set(func() { b.keeps = n }) }
+
 // Breaks has the connections of the next n SETUPs closed in place of an answer.
 func (b *Box) Breaks(n int) { b.set(func() { b.breaks = n }) }
 
--- a/internal/lab/day/day_test.go
+++ b/internal/lab/day/day_test.go
@@ -116,3 +116,19 @@
 		t.Error("another seed draws the same")
 	}
 }
+
+// A small storm of faults on both sides: one answer each, and nothing left at any box.
+func TestStorm(t *testing.T) {
+	t.Parallel()
+	d, err := Storm(2, 400, 80)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := Run(context.Background(), d, Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if v := r.Verdict; v.Broken() > 0 || r.Left > 0 || v.Answered != v.Taken || v.Taken < 300 || v.Further == 0 {
+		t.Errorf("%v, left at boxes %d\n%s", v, r.Left, strings.Join(v.Notes, "\n"))
+	}
+}
--- a/internal/lab/day/report.go
+++ b/internal/lab/day/report.go
@@ -22,6 +22,7 @@
 	Rungs    int             `json:"rung_changes"`
 	Verdict  witness.Verdict `json:"verdict"`
 	Sabotage Sabotage        `json:"sabotage,omitempty"`
+	Left     int             `json:"sessions_left_at_boxes"` // once all was over and a while had passed
 }
 
 // GroupReport is what a service group's viewers got.
@@ -87,6 +88,7 @@
 	for _, s := range r.d.boxes {
 		if b := r.boxes[s.id]; b != nil {
 			c := b.Count()
+			rep.Left += c.Sessions
 			rep.Boxes = append(rep.Boxes, BoxReport{ID: s.id, Setups: c.Setups, Full: c.Full, Frames: c.Frames, Fallen: c.Fallen})
 		}
 	}
@@ -112,8 +114,8 @@
 	}
 	v := r.Verdict
 	fmt.Fprintf(w, " SETUPs\nrung changes %d, packets lost %d, timestamp jumps %d, worst gap between frames %.2f s\n", r.Rungs, r.Lost, r.Jumps, r.Worst)
-	fmt.Fprintf(w, "busy-replied %d, torn down %d, given up by viewers %d, held by killed fronts %d, further SETUPs %d\n",
-		v.Busy, v.TornDown, v.GivenUp, v.Killed, v.Further)
+	fmt.Fprintf(w, "busy-replied %d, torn down %d, given up by viewers %d, held by killed fronts %d, further SETUPs %d, sessions left at boxes %d\n",
+		v.Busy, v.TornDown, v.GivenUp, v.Killed, v.Further, r.Left)
 	for _, n := range v.Notes {
 		fmt.Fprintln(w, "broken:", n)
 	}
--- a/internal/lab/day/run.go
+++ b/internal/lab/day/run.go
@@ -99,7 +99,7 @@
 	r.wit = witness.New(terms)
 	r.site = &box.Site{Ladder: f.Ladder, Scale: scale, Length: func(t string) float64 { return d.Terms.Titles[t].Length },
 		Places: int(terms.Places), WarmUp: f.WarmUp, ColdShare: f.ColdShare, FallFactor: f.FallFactor, FallTime: f.FallTime,
-		ReportEvery: d.report, NoteEvery: f.NoteEvery, SetupTime: d.setup, Vary: d.vary, FullAt: f.FullAt, FPS: d.fps, Thin: d.thin, Keep: 4,
+		ReportEvery: d.report, NoteEvery: f.NoteEvery, SetupTime: d.setup, Vary: d.vary, FullAt: f.FullAt, FPS: d.fps, Thin: d.thin, Keep: 4, Mischief: d.mischief,
 		Now: r.now, Witness: r.wit}
 	for range max(f.Racks, 1) {
 		r.racks = append(r.racks, box.NewRack(f.UplinkMean))
@@ -225,6 +225,14 @@
 			break
 		}
 		viewers.Go(func() { r.view(ctx, i, a) })
+		if a.rude > 0 {
+			viewers.Go(func() {
+				r.mu.Lock()
+				addr := r.fronts[a.front].addr
+				r.mu.Unlock()
+				player.Rude(ctx, addr, r.d.Terms.Groups[a.group].Name, a.title, a.rude)
+			})
+		}
 	}
 	viewers.Wait()
 	events.Wait()
--- a/internal/lab/day/script.go
+++ b/internal/lab/day/script.go
@@ -9,6 +9,7 @@
 	"slices"
 
 	"rainhaven/choice"
+	"rainhaven/internal/lab/player"
 	"rainhaven/internal/settings"
 )
 
@@ -23,6 +24,7 @@
 		{Name: "thin", Kind: settings.Number, Default: 0.02, Max: 1, Doc: "bytes sent over those of the rate: what one machine carries"},
 		{Name: "setup_time", Kind: settings.Number, Default: 0.02, Doc: "seconds that a box takes for a SETUP"},
 		{Name: "report_every", Kind: settings.Number, Default: 0.4, Doc: "seconds between refreshments of load reports"},
+		{Name: "mischief", Kind: settings.Number, Max: 1, Doc: "share of requests to boxes that meet a random fault"},
 		{Name: "vary", Kind: settings.Number, Default: 0.15, Max: 0.9, Doc: "true rates off the ladder"}}},
 	{Name: "viewers", Needed: true, Once: true, Doc: "who comes", Fields: []settings.Field{
 		{Name: "rate", Kind: settings.Number, Needed: true, Max: 2000, Doc: "new sessions a second"},
@@ -30,6 +32,7 @@
 		{Name: "again", Kind: settings.Number, Default: 0.8, Max: 1, Doc: "share that comes again after a busy reply or a break"},
 		{Name: "pause", Kind: settings.Numbers, Doc: "least and most seconds until then"},
 		{Name: "hasty", Kind: settings.Number, Default: 0.03, Max: 1, Doc: "share that disconnects without a word, in set-up or later"},
+		{Name: "rude", Kind: settings.Number, Max: 1, Doc: "visits of broken clients for each viewer"},
 		{Name: "small", Kind: settings.Number, Default: 0.2, Max: 1, Doc: "share that can't use the upper rungs"},
 		{Name: "two_tracks", Kind: settings.Number, Default: 0.3, Max: 1, Doc: "share that sets up sound as well"}}},
 	{Name: "box", Key: "id", Needed: true, Doc: "a stand-in box", Fields: []settings.Field{
@@ -89,6 +92,7 @@
 	setup    float64
 	report   float64
 	vary     float64
+	mischief float64
 	viewers  viewers
 	boxes    []stand
 	titles   []wanted
@@ -97,8 +101,8 @@
 }
 
 type viewers struct {
-	rate, again, hasty, small, two float64
-	watch, pause                   [2]float64
+	rate, again, hasty, small, two, rude float64
+	watch, pause                         [2]float64
 }
 
 type stand struct {
@@ -133,11 +137,11 @@
 	d := &Day{Terms: settings.CommonTerms(s)}
 	e, _ := s.One("day")
 	d.Length, d.Seed, d.Fronts = e.Number("length"), uint64(e.Number("seed")), max(e.Int("fronts"), 1)
-	d.fps, d.thin, d.setup, d.report, d.vary = e.Int("fps"), e.Number("thin"), e.Number("setup_time"), e.Number("report_every"), e.Number("vary")
+	d.fps, d.thin, d.setup, d.report, d.vary, d.mischief = e.Int("fps"), e.Number("thin"), e.Number("setup_time"), e.Number("report_every"), e.Number("vary"), e.Number("mischief")
 	d.lag = pair(s, e, "day", "list_lag", [2]float64{0.3, 2})
 	e, _ = s.One("viewers")
 	d.viewers = viewers{rate: e.Number("rate"), again: e.Number("again"), hasty: e.Number("hasty"), small: e.Number("small"),
-		two: e.Number("two_tracks"), watch: pair(s, e, "viewers", "watch", [2]float64{5, 10}),
+		two: e.Number("two_tracks"), rude: e.Number("rude"), watch: pair(s, e, "viewers", "watch", [2]float64{5, 10}),
 		pause: pair(s, e, "viewers", "pause", [2]float64{0.6, 1.9})}
 	known := map[int]bool{}
 	for _, e := range s.All("box") {
@@ -221,6 +225,7 @@
 	bandwidth float64
 	tracks    int
 	dice      [8]float64 // for its returns
+	rude      int        // the kind of a broken client that comes as well; 0 is none
 }
 
 // arrivals draws the day's viewers: the same ones for a seed, whatever happens to them.
@@ -267,6 +272,9 @@
 		if r.Float64() < d.viewers.two {
 			a.tracks = 2
 		}
+		if d.viewers.rude > 0 && r.Float64() < d.viewers.rude {
+			a.rude = 1 + r.IntN(player.RudeKinds)
+		}
 		for i := range a.dice {
 			a.dice[i] = r.Float64()
 		}
--- a/internal/lab/player/player.go
+++ b/internal/lab/player/player.go
@@ -222,6 +222,17 @@
 // aliveEvery is the pace of a viewer's signs of life, under half of the usual session timeout.
 const aliveEvery = 20 * time.Second
 
+// patience is how long a viewer looks at a still picture.
+const patience = 20 * time.Second
+
+// heard is when the newest frame came, or the SETUP left.
+func (p *play) heard() time.Time {
+	if p.last.IsZero() {
+		return p.asked
+	}
+	return p.last
+}
+
 // watch takes frames until the end.
 func (p *play) watch(ctx context.Context, session string) error {
 	alive := time.Now()
@@ -241,8 +252,8 @@
 			if p.c.Buffered() > 0 {
 				return p.broke(fmt.Errorf("half a frame and no more within a second"))
 			}
-			if !p.last.IsZero() && time.Since(p.last) > 30*time.Second {
-				return p.broke(errors.New("no frame for 30 s"))
+			if time.Since(p.heard()) > patience {
+				return p.broke(fmt.Errorf("no frame for %v", patience))
 			}
 		case err != nil:
 			return p.broke(err)
