Let only named users enter, by digest authentication

Change: choice/entry judges credentials without a table: the nonce carries its instant and a signature over it and the connection; it answers who passes, what is stale, when a guesser's connection ends. The front asks it for every request but OPTIONS; user(...) in the settings; rainhaven play takes rtsp://[redacted-credential]@host/... .

Measured: RFC 7616's published example gives its digests for both algorithms; sixteen cases of credentials; on sockets two algorithms enter, a wrong password and a guesser do not and no SETUP reaches a box.

--- /dev/null
+++ b/choice/entry/entry_test.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+const url = "rtsp://h:554/fault-clips/vents"
+
+// reply is what a client answers a challenge with.
+func reply(challenge string, u User, method, uri string, qop bool) string {
+	_, p, _ := Parse(challenge)
+	q := map[string]string{"username": u.Name, "realm": p["realm"], "nonce": p["nonce"], "uri": uri, "algorithm": p["algorithm"]}
+	if qop {
+		q["qop"], q["nc"], q["cnonce"] = "auth", "00000001", "abc"
+	}
+	q["response"] = Response(p["algorithm"], HA1(p["algorithm"], p["realm"], u), method, q)
+	s := "Digest "
+	for k, v := range q {
+		s += fmt.Sprintf("%s=%q, ", k, v)
+	}
+	return strings.TrimSuffix(s, ", ")
+}
+
+// The example of RFC 7616, section 3.9.1, for both algorithms.
+func TestPublishedExample(t *testing.T) {
+	p := map[string]string{"uri": "/dir/index.html", "nonce": "7ypf/xlj9XXwfDPEoM4URrv/xwf94BcCAzFZH4GiTo0v", "nc": "00000001",
+		"cnonce": "f2/wE4q74E6zIJEtWaHKaf5wv/H5QzzpXusqGemxURZJ", "qop": "auth"}
+	u := User{"Mufasa", "Circle of Life"}
+	for alg, want := range map[string]string{"MD5": "8ca523f5e9506fed4657c9700eebdbec",
+		"SHA-256": "753927fa0e85d155564e2e272a28d1802ca10daf4496794697cf8db5856cb6c1"} {
+		if got := Response(alg, HA1(alg, "http-auth@example.org", u), "GET", p); got != want {
+			t.Errorf("%s: %s, want %s", alg, got, want)
+		}
+	}
+}
+
+func TestWhoPasses(t *testing.T) {
+	u := User{"lena", `p"w:d`}
+	g := New("rainhaven", []User{u}, []byte("key"))
+	ch := g.Challenge(1000, 7, false)
+	if len(ch) != 2 || !strings.Contains(ch[0], "SHA-256") || !strings.Contains(ch[1], "MD5") {
+		t.Fatal(ch)
+	}
+	for name, c := range map[string]struct {
+		now    float64
+		conn   uint64
+		method string
+		auth   string
+		want   Verdict
+	}{
+		"SHA-256":            {1001, 7, "SETUP", reply(ch[0], u, "SETUP", url, true), Passed},
+		"MD5":                {1001, 7, "SETUP", reply(ch[1], u, "SETUP", url, true), Passed},
+		"an old client":      {1001, 7, "SETUP", reply(ch[1], u, "SETUP", url, false), Passed},
+		"the presentation":   {1001, 7, "SETUP", reply(ch[0], u, "SETUP", url+"/", true), Passed},
+		"none":               {1001, 7, "SETUP", "", Challenged},
+		"another method":     {1001, 7, "SETUP", reply(ch[0], u, "PLAY", url, true), Wrong},
+		"another URL":        {1001, 7, "SETUP", reply(ch[0], u, "SETUP", "rtsp://h:554/fault-clips/other", true), Wrong},
+		"a URL over all":     {1001, 7, "SETUP", reply(ch[0], u, "SETUP", "rtsp://h:554", true), Wrong},
+		"wrong password":     {1001, 7, "SETUP", reply(ch[0], User{"lena", "x"}, "SETUP", url, true), Wrong},
+		"nobody":             {1001, 7, "SETUP", reply(ch[0], User{"eve", "x"}, "SETUP", url, true), Wrong},
+		"later":              {1301, 7, "SETUP", reply(ch[0], u, "SETUP", url, true), Stale},
+		"another connection": {1001, 8, "SETUP", reply(ch[0], u, "SETUP", url, true), Stale},
+		"a made-up nonce":    {1001, 7, "SETUP", reply(strings.Replace(ch[0], `nonce="A`, `nonce="B`, 1), u, "SETUP", url, true), Stale},
+		"Basic":              {1001, 7, "SETUP", "Basic bGVuYTpwdw==", Wrong},
+		"broken":             {1001, 7, "SETUP", `Digest username="lena`, Wrong},
+		"twice":              {1001, 7, "SETUP", reply(ch[0], u, "SETUP", url, true) + `, username="x"`, Wrong},
+	} {
+		if got := g.Check(c.now, c.conn, c.method, url+"/track1?viewer=3", c.auth); got != c.want {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+	}
+	if New("r", nil, nil).Check(1, 1, "SETUP", url, "") != Passed {
+		t.Error("without users not all pass")
+	}
+	if Enough(1) || !Enough(100) {
+		t.Error("wrong answers are not counted")
+	}
+}
+
+func FuzzCheck(f *testing.F) {
+	u := User{"lena", "pw"}
+	g := New("rainhaven", []User{u}, []byte("key"))
+	f.Add(reply(g.Challenge(1000, 7, false)[0], u, "SETUP", url, true))
+	f.Add(`Digest a="\"", b=c,, d`)
+	f.Fuzz(func(t *testing.T, v string) {
+		// On another connection than the challenge's nothing passes, whatever it says.
+		if g.Check(1001, 8, "SETUP", url, v) == Passed {
+			t.Fatalf("%q passes", v)
+		}
+		if _, p, err := Parse(v); err == nil && len(p) > 20 {
+			t.Fatalf("%d parameters", len(p))
+		}
+	})
+}
--- a/cmd/rainhaven/lab.go
+++ b/cmd/rainhaven/lab.go
@@ -5,12 +5,14 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/url"
 	"os"
 	"slices"
 	"time"
 
 	"github.com/spf13/cobra"
 
+	"rainhaven/choice/entry"
 	"rainhaven/internal/lab/day"
 	"rainhaven/internal/lab/measure"
 	"rainhaven/internal/lab/player"
@@ -34,7 +36,12 @@
 			if _, _, err := net.SplitHostPort(p.Host); err != nil {
 				p.Host = net.JoinHostPort(p.Host, "554")
 			}
-			w := player.Want{Address: p.Host, Group: p.Group, Title: p.Title, SetupTimeout: timeout.Seconds(), Watch: watch.Seconds(),
+			var who *entry.User
+			if u, err := url.Parse(args[0]); err == nil && u.User != nil {
+				pw, _ := u.User.Password()
+				who = &entry.User{Name: u.User.Username(), Password: pw}
+			}
+			w := player.Want{User: who, Address: p.Host, Group: p.Group, Title: p.Title, SetupTimeout: timeout.Seconds(), Watch: watch.Seconds(),
 				Bandwidth: bandwidth, Tracks: tracks, Describe: true}
 			if out != "" {
 				f, err := os.Create(out)
--- a/internal/front/counts.go
+++ b/internal/front/counts.go
@@ -10,7 +10,7 @@
 type counts struct {
 	requests, taken, answers, setups, ends, probes, orphans *prometheus.CounterVec
 
-	malformed, turnedAway, stray, shorts, notes, rungs prometheus.Counter
+	malformed, unauthorized, turnedAway, stray, shorts, notes, rungs prometheus.Counter
 
 	sessions prometheus.Gauge
 	settle   prometheus.Histogram
@@ -25,20 +25,21 @@
 		return prometheus.NewCounter(prometheus.CounterOpts{Name: "rainhaven_" + name, Help: help})
 	}
 	c := &counts{
-		requests:   vec("requests_total", "Requests of viewers, by method.", "method"),
-		taken:      vec("taken_total", "Requests for a session taken, by service group.", "group"),
-		answers:    vec("answers_total", "Final answers, by service group and answer.", "group", "answer"),
-		setups:     vec("setups_total", "SETUPs to boxes, by how they ended.", "outcome"),
-		ends:       vec("ends_total", "Ends of sessions that had been served, by cause.", "cause"),
-		probes:     vec("probes_total", "Probes of boxes, by how they ended.", "outcome"),
-		orphans:    vec("orphans_total", "Sessions that boxes set up too late, by what became of them.", "result"),
-		malformed:  one("malformed_total", "Connections of viewers ended for malformed input."),
-		turnedAway: one("turned_away_total", "Connections of viewers closed because too many were open."),
-		stray:      one("stray_total", "Frames and answers that belong to nothing."),
-		shorts:     one("shorts_total", "Shares under the full rate told to the module, and their ends."),
-		notes:      one("load_notes_total", "Load notes told to the module."),
-		rungs:      one("rung_changes_total", "Changes of rung asked of boxes."),
-		sessions:   prometheus.NewGauge(prometheus.GaugeOpts{Name: "rainhaven_sessions", Help: "Sessions held."}),
+		requests:     vec("requests_total", "Requests of viewers, by method.", "method"),
+		taken:        vec("taken_total", "Requests for a session taken, by service group.", "group"),
+		answers:      vec("answers_total", "Final answers, by service group and answer.", "group", "answer"),
+		setups:       vec("setups_total", "SETUPs to boxes, by how they ended.", "outcome"),
+		ends:         vec("ends_total", "Ends of sessions that had been served, by cause.", "cause"),
+		probes:       vec("probes_total", "Probes of boxes, by how they ended.", "outcome"),
+		orphans:      vec("orphans_total", "Sessions that boxes set up too late, by what became of them.", "result"),
+		malformed:    one("malformed_total", "Connections of viewers ended for malformed input."),
+		unauthorized: one("unauthorized_total", "Requests of viewers with wrong credentials."),
+		turnedAway:   one("turned_away_total", "Connections of viewers closed because too many were open."),
+		stray:        one("stray_total", "Frames and answers that belong to nothing."),
+		shorts:       one("shorts_total", "Shares under the full rate told to the module, and their ends."),
+		notes:        one("load_notes_total", "Load notes told to the module."),
+		rungs:        one("rung_changes_total", "Changes of rung asked of boxes."),
+		sessions:     prometheus.NewGauge(prometheus.GaugeOpts{Name: "rainhaven_sessions", Help: "Sessions held."}),
 		settle: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "rainhaven_settle_seconds",
 			Help: "Time to settle one batch of events.", Buckets: prometheus.ExponentialBuckets(1e-6, 4, 10)}),
 		answerIn: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "rainhaven_answer_seconds",
@@ -49,7 +50,7 @@
 		return c, nil
 	}
 	for _, m := range []prometheus.Collector{c.requests, c.taken, c.answers, c.setups, c.ends, c.probes, c.orphans,
-		c.malformed, c.turnedAway, c.stray, c.shorts, c.notes, c.rungs, c.sessions, c.settle, c.answerIn} {
+		c.malformed, c.unauthorized, c.turnedAway, c.stray, c.shorts, c.notes, c.rungs, c.sessions, c.settle, c.answerIn} {
 		if err := reg.Register(m); err != nil {
 			return nil, fmt.Errorf("registering metrics: %w", err)
 		}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -40,6 +40,7 @@
 	"go.uber.org/zap"
 
 	"rainhaven/choice"
+	"rainhaven/choice/entry"
 	"rainhaven/choice/hearing"
 	"rainhaven/choice/limits"
 	"rainhaven/choice/pool"
@@ -77,6 +78,7 @@
 
 	// Owned by the loop.
 	table   *session.Table
+	gate    *entry.Gate // nil where no users are named
 	ear     *hearing.Ear
 	keeper  *pool.Keeper
 	address map[choice.ServerID]string // of boxes listed; a box that left is kept while sessions are there
@@ -125,6 +127,12 @@
 	for _, g := range terms.Groups {
 		bounds.SetupTimeout = append(bounds.SetupTimeout, g.SetupTimeout)
 	}
+	var key [32]byte
+	if _, err := rand.Read(key[:]); err != nil {
+		return nil, err
+	}
+	f.gate = entry.New(terms.Realm, terms.Users, key[:])
+	f.terms.Users = nil // the gate has what it needs of them
 	var orders session.Orders = carrier{f}
 	if o.Spoil != nil {
 		orders = o.Spoil(orders)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/goleak"
 
 	"rainhaven/choice"
+	"rainhaven/choice/entry"
 	"rainhaven/choice/limits"
 	"rainhaven/internal/front"
 	"rainhaven/internal/lab/box"
@@ -269,6 +270,39 @@
 		With("Transport", "RTP/AVP/TCP;unicast")
 }
 
+func TestOnlyUsersEnter(t *testing.T) {
+	b := newBench(t, 1, func(terms *settings.Terms, _ *box.Site) {
+		terms.Realm, terms.Users = "r", []entry.User{{Name: "lena", Password: "pw"}}
+	})
+	for _, alg := range []string{"SHA-256", "MD5"} {
+		w := b.want("clips")
+		w.User, w.Algorithm, w.Tracks = &entry.User{Name: "lena", Password: "pw"}, alg, 2
+		if seen, err := player.Watch(context.Background(), w); err != nil || seen.Status != 200 {
+			t.Errorf("%s: %+v %v", alg, seen, err)
+		}
+	}
+	w := b.want("clips")
+	w.User = &entry.User{Name: "lena", Password: "guess"}
+	if seen, _ := player.Watch(context.Background(), w); seen.Status != 401 {
+		t.Errorf("a wrong password: %+v", seen)
+	}
+	c := b.dial()
+	for n := 1; ; n++ { // a guesser's connection is ended
+		m := b.setup(fmt.Sprint(n), "").With("Authorization", `Digest username="lena", realm="r", nonce="x"`)
+		r, err := c.RoundTrip(m, 5*time.Second, nil)
+		if err != nil {
+			break
+		}
+		if r.Status != 401 || n > 20 {
+			t.Fatalf("guess %d: %d", n, r.Status)
+		}
+	}
+	if n := b.boxes[0].Count().Setups; n != 2 {
+		t.Errorf("%d SETUPs at the box", n)
+	}
+	b.rules()
+}
+
 // A box that refuses a TEARDOWN goes on sending: the next viewer must not get it.
 func TestNextViewerGetsNothingOfTheLast(t *testing.T) {
 	b := newBench(t, 1, nil)
--- a/internal/front/viewer.go
+++ b/internal/front/viewer.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"rainhaven/choice"
+	"rainhaven/choice/entry"
 	"rainhaven/choice/session"
 	"rainhaven/internal/relay"
 	"rainhaven/internal/rtsp"
@@ -30,6 +31,8 @@
 	slots  []*slot // requests in their order; emptied as responses are ready
 	sess   map[choice.SessID]*sess
 	serial int
+	num    uint64
+	wrong  int // credentials that were
 	closed bool
 }
 
@@ -86,7 +89,11 @@
 		}
 		c.Close()
 	}()
-	f.post(func() { f.viewers[v] = struct{}{} })
+	f.post(func() {
+		f.serial++
+		v.num = f.serial
+		f.viewers[v] = struct{}{}
+	})
 	go func() {
 		defer f.work.Done()
 		defer f.open.Add(-1)
@@ -203,6 +210,9 @@
 		v.respond(s, rtsp.Response(m, rtsp.OptionNotSupported).With("Unsupported", m.Header.Get("Require")))
 		return
 	}
+	if m.Method != rtsp.Options && !v.enters(s) {
+		return
+	}
 	switch m.Method {
 	case rtsp.Options:
 		v.alive(m)
@@ -233,6 +243,25 @@
 	}
 }
 
+// enters tells whether a request's credentials are good; else it is answered.
+func (v *viewer) enters(s *slot) bool {
+	verdict := v.f.gate.Check(v.f.now(), v.num, s.req.Method, s.req.URL, s.req.Header.Get("Authorization"))
+	if verdict == entry.Passed {
+		return true
+	}
+	r := rtsp.Response(s.req, rtsp.Unauthorized)
+	r.Header["Www-Authenticate"] = v.f.gate.Challenge(v.f.now(), v.num, verdict == entry.Stale)
+	if verdict == entry.Wrong {
+		v.f.count.unauthorized.Inc()
+		v.f.log.Info("wrong credentials", zap.Stringer("viewer", v.conn.RemoteAddr()))
+		if v.wrong++; entry.Enough(v.wrong) {
+			r.With("Connection", "close")
+		}
+	}
+	v.respond(s, r)
+	return false
+}
+
 // method keeps a metric's labels to those that are known.
 func method(m string) string {
 	if strings.Contains(public, m) && len(m) > 3 && !strings.Contains(m, ",") {
--- a/internal/lab/player/player.go
+++ b/internal/lab/player/player.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"time"
 
+	"rainhaven/choice/entry"
 	"rainhaven/internal/lab/witness"
 	"rainhaven/internal/rtsp"
 )
@@ -29,7 +30,9 @@
 	Bandwidth    float64 // bits a second; 0 is not told
 	Tracks       int     // 1 or 2
 	Describe     bool
-	Save         io.Writer // where the first track's payloads go; may be nil
+	User         *entry.User // for a front that asks who it is; DESCRIBE comes first then
+	Algorithm    string      // of the digest; the first one offered where empty
+	Save         io.Writer   // where the first track's payloads go; may be nil
 	Live         func(Seen)
 	Now          func() float64
 	Witness      *witness.Witness // may be nil
@@ -78,6 +81,7 @@
 	ts     uint32
 	bye    bool
 	frames [2]int
+	offer  map[string]string // the front's challenge, once it came
 }
 
 // Watch plays a session as wanted. The error tells why it did not go to its end; what was seen counts all the same.
@@ -121,7 +125,25 @@
 
 func (p *play) request(method, url string) *rtsp.Message {
 	p.cseq++
-	return rtsp.Request(method, url).With("CSeq", strconv.Itoa(p.cseq)).With("User-Agent", "rainhaven-play")
+	m := rtsp.Request(method, url).With("CSeq", strconv.Itoa(p.cseq)).With("User-Agent", "rainhaven-play")
+	if p.offer != nil {
+		q := map[string]string{"uri": url, "nonce": p.offer["nonce"], "qop": "auth", "nc": fmt.Sprintf("%08x", p.cseq), "cnonce": "rainhaven"}
+		alg, realm := p.offer["algorithm"], p.offer["realm"]
+		m.With("Authorization", fmt.Sprintf(`Digest username="%s", realm="%s", nonce="%s", uri="%s", algorithm=%s, qop=auth, nc=%s, cnonce="%s", response="%s"`,
+			p.w.User.Name, realm, q["nonce"], url, alg, q["nc"], q["cnonce"], entry.Response(alg, entry.HA1(alg, realm, *p.w.User), method, q)))
+	}
+	return m
+}
+
+// challenged keeps the challenge that suits.
+func (p *play) challenged(r *rtsp.Message) bool {
+	for _, v := range r.Header["Www-Authenticate"] {
+		if scheme, q, err := entry.Parse(v); err == nil && scheme == "Digest" && (p.w.Algorithm == "" || p.w.Algorithm == q["algorithm"]) {
+			p.offer = q
+			return true
+		}
+	}
+	return false
 }
 
 func (p *play) other(m *rtsp.Message, f rtsp.Frame) {
@@ -131,8 +153,14 @@
 }
 
 func (p *play) run(ctx context.Context) error {
-	if p.w.Describe {
-		r, err := p.c.RoundTrip(p.request(rtsp.Describe, p.url(-1)).With("Accept", "application/sdp"), 5*time.Second, p.other)
+	if p.w.Describe || p.w.User != nil {
+		describe := func() (*rtsp.Message, error) {
+			return p.c.RoundTrip(p.request(rtsp.Describe, p.url(-1)).With("Accept", "application/sdp"), 5*time.Second, p.other)
+		}
+		r, err := describe()
+		if err == nil && r.Status == rtsp.Unauthorized && p.w.User != nil && p.challenged(r) {
+			r, err = describe()
+		}
 		if err != nil {
 			return err
 		}
--- a/internal/rtsp/message.go
+++ b/internal/rtsp/message.go
@@ -31,6 +31,7 @@
 const (
 	OK                     = 200
 	BadRequest             = 400
+	Unauthorized           = 401
 	NotFound               = 404
 	MethodNotAllowed       = 405
 	TooLarge               = 413
@@ -52,7 +53,7 @@
 )
 
 var reasons = map[int]string{
-	OK: "OK", BadRequest: "Bad Request", NotFound: "Not Found", MethodNotAllowed: "Method Not Allowed",
+	OK: "OK", BadRequest: "Bad Request", Unauthorized: "Unauthorized", NotFound: "Not Found", MethodNotAllowed: "Method Not Allowed",
 	TooLarge: "Request Entity Too Large", URITooLong: "Request-URI Too Large",
 	ParameterNotUnderstood: "Parameter Not Understood", NotEnoughBandwidth: "Not Enough Bandwidth",
 	SessionNotFound: "Session Not Found", NotValidInThisState: "Method Not Valid In This State",
--- a/internal/settings/read.go
+++ b/internal/settings/read.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"rainhaven/choice"
+	"rainhaven/choice/entry"
 	"rainhaven/choice/limits"
 )
 
@@ -82,7 +83,11 @@
 		{Name: "me", Kind: Whole, Doc: "its number among the fronts, from 0"},
 		{Name: "fronts", Kind: Whole, Default: 1.0, Min: 1, Doc: "how many fronts there are"},
 		{Name: "zone", Kind: Text, Doc: "the zone it stands in"},
+		{Name: "realm", Kind: Text, Default: "rainhaven", Doc: "what viewers' credentials are for, where users are named"},
 		{Name: "seed", Kind: Whole, Doc: "of its chance; 0 draws one at each start"}}},
+	{Name: "user", Key: "name", Doc: "one who may enter; without any, everyone may", Fields: []Field{
+		{Name: "name", Kind: Text, Needed: true, Doc: "the name"},
+		{Name: "password", Kind: Text, Needed: true, Doc: "the password; keep the file to yourself"}}},
 	{Name: "box", Key: "id", Needed: true, Doc: "a box", Fields: []Field{
 		{Name: "id", Kind: Whole, Needed: true, Max: 1<<32 - 1, Doc: "its number"},
 		{Name: "address", Kind: Text, Needed: true, Doc: "host:port"},
@@ -113,6 +118,16 @@
 	t.Name, t.Listen, t.Admin = e.Text("name"), e.Text("listen"), e.Text("admin")
 	t.Figures.Me, t.Figures.Fronts, t.Figures.Seed = e.Int("me"), max(e.Int("fronts"), 1), uint64(e.Number("seed"))
 	t.Figures.Zone = t.zone(s, e)
+	if t.Realm = e.Text("realm"); strings.ContainsAny(t.Realm, "\"\\\r\n") {
+		s.Wrong(e.Line, "front: realm %q stands between quotes; none within would be right", t.Realm)
+	}
+	for _, e := range s.All("user") {
+		u := entry.User{Name: e.Text("name"), Password: e.Text("password")}
+		if strings.Contains(u.Name, ":") {
+			s.Wrong(e.Line, "user %s: a colon ends the name in a digest; a name without one would be right", u.Name)
+		}
+		t.Users = append(t.Users, u)
+	}
 	if t.Figures.Me >= t.Figures.Fronts {
 		s.Wrong(e.Line, "front: me is %d of %d fronts; 0 to %d would be right", t.Figures.Me, t.Figures.Fronts, t.Figures.Fronts-1)
 	}
--- a/internal/settings/terms.go
+++ b/internal/settings/terms.go
@@ -4,6 +4,7 @@
 
 import (
 	"rainhaven/choice"
+	"rainhaven/choice/entry"
 	"rainhaven/choice/limits"
 )
 
@@ -17,6 +18,8 @@
 	Groups  []Group             // in the order of Figures.Groups
 	Titles  map[string]Title
 	Boxes   []Box
+	Realm   string
+	Users   []entry.User // none: everyone may enter
 	Zones   []string
 	Kinds   []string
 
