--- a/choice/limits/limits.go
+++ b/choice/limits/limits.go
@@ -41,3 +41,7 @@
 // ViewerLimited tells whether a session's media says nothing of its box, because the viewer's queue was full at instant
 // limited. The second is what shares are measured over.
 func ViewerLimited(now, limited float64) bool { return limited > 0 && now-limited < 1 }
+
+// Handshake is how many seconds a viewer's TLS handshake may take: two round trips and a signature, with room for a poor
+// farm link; a client that never finishes holds its place no longer.
+const Handshake = 5.0
--- a/cmd/rainhaven/lab.go
+++ b/cmd/rainhaven/lab.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -8,6 +10,7 @@
 	"net/url"
 	"os"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -22,7 +25,8 @@
 
 func playCommand() *cobra.Command {
 	var asJSON bool
-	var out string
+	var out, ca string
+	var insecure bool
 	var watch, timeout time.Duration
 	var bandwidth float64
 	var tracks int
@@ -43,6 +47,18 @@
 			}
 			w := player.Want{User: who, Address: p.Host, Group: p.Group, Title: p.Title, SetupTimeout: timeout.Seconds(), Watch: watch.Seconds(),
 				Bandwidth: bandwidth, Tracks: tracks, Describe: true}
+			if strings.HasPrefix(args[0], "rtsps:") {
+				w.TLS = &tls.Config{InsecureSkipVerify: insecure}
+				if host, _, err := net.SplitHostPort(p.Host); err == nil {
+					w.TLS.ServerName = host
+				}
+				if ca != "" {
+					pem, err := os.ReadFile(ca)
+					if w.TLS.RootCAs = x509.NewCertPool(); err != nil || !w.TLS.RootCAs.AppendCertsFromPEM(pem) {
+						return failed("--ca %s holds no certificate that can be read", ca)
+					}
+				}
+			}
 			if out != "" {
 				f, err := os.Create(out)
 				if err != nil {
@@ -74,6 +90,8 @@
 		}}
 	c.Flags().BoolVar(&asJSON, "json", false, "what was seen, as one JSON object")
 	c.Flags().StringVar(&out, "out", "", "file for the first track's payloads")
+	c.Flags().StringVar(&ca, "ca", "", "file of the certificates that an rtsps front's must be signed by")
+	c.Flags().BoolVar(&insecure, "insecure", false, "take any certificate of an rtsps front")
 	c.Flags().DurationVar(&watch, "for", 0, "media to watch; 0 is to the end")
 	c.Flags().DurationVar(&timeout, "setup-timeout", 5*time.Second, "how long to wait for the answer")
 	c.Flags().Float64Var(&bandwidth, "bandwidth", 0, "bits a second that this viewer can take; 0 is not told")
--- a/cmd/rainhaven/serve.go
+++ b/cmd/rainhaven/serve.go
@@ -18,6 +18,7 @@
 
 	"rainhaven/choice"
 	"rainhaven/internal/front"
+	"rainhaven/internal/keys"
 	"rainhaven/internal/lab/box"
 	"rainhaven/internal/lab/player"
 	"rainhaven/internal/settings"
@@ -77,7 +78,23 @@
 		defer stop()
 		t.Admin = at
 	}
-	served := make(chan error, 1)
+	served := make(chan error, 2)
+	if t.TLS.Listen != "" {
+		files, err := keys.Open(t.TLS.Cert, t.TLS.Key, log)
+		if err != nil {
+			l.Close()
+			return failure{exitFailed, err}
+		}
+		tl, err := net.Listen("tcp", t.TLS.Listen)
+		if err != nil {
+			l.Close()
+			return failed("the address for viewers over TLS: %w", err)
+		}
+		follow, stop := context.WithCancel(context.Background())
+		defer stop()
+		work.Go(func() { files.Follow(follow, 2*time.Second) })
+		work.Go(func() { served <- f.ServeTLS(tl, files.TLS()) })
+	}
 	work.Go(func() { served <- f.Serve(l) })
 	log.Info("serving", zap.String("front", t.Name), zap.String("listen", l.Addr().String()), zap.String("admin", t.Admin), zap.Int("boxes", len(t.Boxes)))
 	select {
--- a/internal/front/counts.go
+++ b/internal/front/counts.go
@@ -10,7 +10,7 @@
 type counts struct {
 	requests, taken, answers, setups, ends, probes, orphans *prometheus.CounterVec
 
-	malformed, unauthorized, turnedAway, stray, shorts, notes, rungs prometheus.Counter
+	malformed, unauthorized, handshakes, turnedAway, stray, shorts, notes, rungs prometheus.Counter
 
 	sessions prometheus.Gauge
 	settle   prometheus.Histogram
@@ -34,6 +34,7 @@
 		orphans:      vec("orphans_total", "Sessions that boxes set up too late, by what became of them.", "result"),
 		malformed:    one("malformed_total", "Connections of viewers ended for malformed input."),
 		unauthorized: one("unauthorized_total", "Requests of viewers with wrong credentials."),
+		handshakes:   one("failed_handshakes_total", "TLS handshakes of viewers that failed or took too long."),
 		turnedAway:   one("turned_away_total", "Connections of viewers closed because too many were open."),
 		stray:        one("stray_total", "Frames and answers that belong to nothing."),
 		shorts:       one("shorts_total", "Shares under the full rate told to the module, and their ends."),
@@ -50,7 +51,7 @@
 		return c, nil
 	}
 	for _, m := range []prometheus.Collector{c.requests, c.taken, c.answers, c.setups, c.ends, c.probes, c.orphans,
-		c.malformed, c.unauthorized, c.turnedAway, c.stray, c.shorts, c.notes, c.rungs, c.sessions, c.settle, c.answerIn} {
+		c.malformed, c.unauthorized, c.handshakes, c.turnedAway, c.stray, c.shorts, c.notes, c.rungs, c.sessions, c.settle, c.answerIn} {
 		if err := reg.Register(m); err != nil {
 			return nil, fmt.Errorf("registering metrics: %w", err)
 		}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -27,6 +27,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/binary"
 	"encoding/hex"
 	"errors"
@@ -298,6 +299,15 @@
 // Serve takes viewers from a listener until it fails or the front is closed; then it returns nil. Several listeners
 // may be served at once.
 func (f *Front) Serve(l net.Listener) error {
+	return f.serve(l, func(c net.Conn) net.Conn { return c })
+}
+
+// ServeTLS is Serve for viewers that come over TLS.
+func (f *Front) ServeTLS(l net.Listener, with *tls.Config) error {
+	return f.serve(l, func(c net.Conn) net.Conn { return tls.Server(c, with) })
+}
+
+func (f *Front) serve(l net.Listener, over func(net.Conn) net.Conn) error {
 	f.work.Add(1)
 	defer f.work.Done()
 	if f.context.Err() != nil {
@@ -334,7 +344,7 @@
 			c.Close()
 			continue
 		}
-		f.take(c)
+		f.take(over(c))
 	}
 }
 
--- /dev/null
+++ b/internal/front/tls_test.go
@@ -0,0 +1,130 @@
+package front_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rainhaven/internal/keys"
+	"rainhaven/internal/lab/player"
+)
+
+// pair makes a self-signed certificate with its serial number, and its key.
+func pair(t *testing.T, serial int64, until time.Time) (cert, key []byte) {
+	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &x509.Certificate{SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: "front"}, NotBefore: time.Now().Add(-72 * time.Hour),
+		NotAfter: until, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true}
+	der, err := x509.CreateCertificate(rand.Reader, c, c, &k.PublicKey, k)
+	if err != nil {
+		t.Fatal(err)
+	}
+	kd, err := x509.MarshalECPrivateKey(k)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: kd})
+}
+
+// Keys change while a session plays over TLS: it goes on; new connections get the new certificate, and only a good one.
+func TestKeysChangeInService(t *testing.T) {
+	b := newBench(t, 1, nil)
+	dir := t.TempDir()
+	certFile, keyFile := filepath.Join(dir, "cert.pem"), filepath.Join(dir, "key.pem")
+	write := func(cert, key []byte) {
+		for f, x := range map[string][]byte{certFile: cert, keyFile: key} {
+			if err := os.WriteFile(f, x, 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	later := time.Now().Add(1000 * time.Hour)
+	cert1, key1 := pair(t, 1, later)
+	cert2, key2 := pair(t, 2, later)
+	old, oldKey := pair(t, 3, time.Now().Add(-time.Hour))
+	if _, err := keys.Open(certFile, keyFile, zap.NewNop()); err == nil {
+		t.Fatal("files that are not there were taken")
+	}
+	write(cert1, key1)
+	files, err := keys.Open(certFile, keyFile, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	served := make(chan error, 1)
+	go func() { served <- b.ServeTLS(l, files.TLS()) }()
+	serial := func() int64 {
+		c, err := tls.Dial("tcp", addr, &tls.Config{InsecureSkipVerify: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		return c.ConnectionState().PeerCertificates[0].SerialNumber.Int64()
+	}
+	roots := x509.NewCertPool()
+	roots.AppendCertsFromPEM(cert1)
+	playing, done := make(chan struct{}), make(chan error, 1)
+	w := b.want("clips")
+	w.Address, w.TLS, w.Watch = addr, &tls.Config{RootCAs: roots, ServerName: "127.0.0.1"}, 1.6
+	w.Live = func(player.Seen) {
+		select {
+		case <-playing:
+		default:
+			close(playing)
+		}
+	}
+	go func() {
+		_, err := player.Watch(context.Background(), w)
+		done <- err
+	}()
+	<-playing
+	for name, x := range map[string][2][]byte{"half written": {cert2[:len(cert2)/2], key2}, "not a pair": {cert2, key1}, "expired": {old, oldKey}} {
+		write(x[0], x[1])
+		if took, say := files.Look(time.Now()); took || say == "" || serial() != 1 {
+			t.Errorf("%s: taken %v, said %q, serial %d", name, took, say, serial())
+		}
+	}
+	write(cert2, key2)
+	if took, say := files.Look(time.Now()); !took || serial() != 2 {
+		t.Errorf("a good pair: taken %v, said %q, serial %d", took, say, serial())
+	}
+	if err := <-done; err != nil {
+		t.Errorf("the session that played: %v", err)
+	}
+	// Neither a client that never finishes its handshake nor one that speaks no TLS holds up others.
+	for _, say := range []string{"", "OPTIONS * RTSP/1.0\r\n\r\n"} {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.Write([]byte(say))
+	}
+	if serial() != 2 {
+		t.Error("held up")
+	}
+	b.rules()
+	b.Close()
+	if err := <-served; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/front/viewer.go
+++ b/internal/front/viewer.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
+	"fmt"
 	"maps"
 	"math"
 	"net"
@@ -15,6 +17,7 @@
 
 	"rainhaven/choice"
 	"rainhaven/choice/entry"
+	"rainhaven/choice/limits"
 	"rainhaven/choice/session"
 	"rainhaven/internal/relay"
 	"rainhaven/internal/rtsp"
@@ -97,13 +100,31 @@
 	go func() {
 		defer f.work.Done()
 		defer f.open.Add(-1)
-		err := v.read()
+		err := f.shake(c)
+		if err == nil {
+			err = v.read()
+		}
 		c.Close()
 		v.out.Close()
 		f.post(func() { f.viewerClosed(v, err) })
 	}()
 }
 
+// shake has a TLS connection's handshake done within its time.
+func (f *Front) shake(c net.Conn) error {
+	t, ok := c.(*tls.Conn)
+	if !ok {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(f.context, time.Duration(limits.Handshake*1e9))
+	defer cancel()
+	if err := t.HandshakeContext(ctx); err != nil {
+		f.count.handshakes.Inc()
+		return fmt.Errorf("TLS handshake: %w", err)
+	}
+	return nil
+}
+
 // read takes requests until the connection ends.
 func (v *viewer) read() error {
 	idle := time.Duration((v.f.terms.Bounds.ViewerIdle + 5) * 1e9)
--- a/internal/lab/player/player.go
+++ b/internal/lab/player/player.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -30,6 +31,7 @@
 	Bandwidth    float64 // bits a second; 0 is not told
 	Tracks       int     // 1 or 2
 	Describe     bool
+	TLS          *tls.Config // for a front over TLS
 	User         *entry.User // for a front that asks who it is; DESCRIBE comes first then
 	Algorithm    string      // of the digest; the first one offered where empty
 	Save         io.Writer   // where the first track's payloads go; may be nil
@@ -102,6 +104,9 @@
 		return Seen{}, fmt.Errorf("connecting to the front: %w", err)
 	}
 	defer raw.Close()
+	if w.TLS != nil {
+		raw = tls.Client(raw, w.TLS)
+	}
 	stop := context.AfterFunc(ctx, func() { raw.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	p := &play{w: w, c: rtsp.NewConn(raw, rtsp.Bounds{})}
--- a/internal/settings/read.go
+++ b/internal/settings/read.go
@@ -79,6 +79,9 @@
 	{Name: "front", Needed: true, Once: true, Doc: "this front", Fields: []Field{
 		{Name: "name", Kind: Text, Needed: true, Doc: "of the instance"},
 		{Name: "listen", Kind: Text, Needed: true, Doc: "host:port for viewers"},
+		{Name: "tls_listen", Kind: Text, Doc: "host:port for viewers over TLS; empty is none"},
+		{Name: "cert", Kind: Text, Doc: "file of the certificate for TLS, and of those that signed it"},
+		{Name: "key", Kind: Text, Doc: "file of its key"},
 		{Name: "admin", Kind: Text, Doc: "host:port for health and metrics; empty is none"},
 		{Name: "me", Kind: Whole, Doc: "its number among the fronts, from 0"},
 		{Name: "fronts", Kind: Whole, Default: 1.0, Min: 1, Doc: "how many fronts there are"},
@@ -134,7 +137,11 @@
 	if strings.ContainsAny(t.Name, "/ \t\\") {
 		s.Wrong(e.Line, "front: name %q is used for files; letters, digits, dots and dashes are right", t.Name)
 	}
-	for _, field := range []string{"listen", "admin"} {
+	t.TLS = Pair{e.Text("tls_listen"), e.Text("cert"), e.Text("key")}
+	if t.TLS.Listen != "" && (t.TLS.Cert == "" || t.TLS.Key == "") {
+		s.Wrong(e.Line, "front: tls_listen needs cert and key, two files")
+	}
+	for _, field := range []string{"listen", "admin", "tls_listen"} {
 		if a := e.Text(field); a != "" {
 			address(s, e, "front", field, a)
 		}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -73,6 +73,8 @@
 		"positions":          {`kind(name = "two-core", places = 20)`, `kind("two-core", 20)`, ":6:", "named fields only"},
 		"never ends":         {"fronts = 4\n", "fronts = 4\nx = [a for a in range(9999999) for b in range(9999999)]\n", ":3:", "too many steps"},
 		"nobody holds it":    {"start_cell = 4, span = 3", "start_cell = 4, span = 1)\nfleet(links = 1, uplink = 1, cells = 9, racks = 1", ":15:", "second time"},
+		"TLS without key":    {"me = 1", `me = 1, tls_listen = "127.0.0.1:322", cert = "c.pem"`, ":3:", "needs cert and key"},
+		"colon in a name":    {"fronts = 4\n", "fronts = 4\nuser(name = 'a:b', password = 'c')\n", ":3:", "without one"},
 		"divides by zero":    {"fronts = 4\n", "fronts = 4 // 0\n", ":2:", "division by zero"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/settings/terms.go
+++ b/internal/settings/terms.go
@@ -12,6 +12,7 @@
 type Terms struct {
 	Name   string // of the instance: in logs, metrics and towards boxes
 	Listen string // address for viewers
+	TLS    Pair   // for viewers that come over TLS; an empty Listen is none
 	Admin  string // address for health and metrics; empty is none
 
 	Figures choice.StartFigures // Seed 0 is drawn at start
@@ -27,6 +28,9 @@
 	Grace  float64 // seconds after which nothing new may reach a box that drains; the module needs none of it
 }
 
+// Pair is an address for TLS and the files of its certificate and key.
+type Pair struct{ Listen, Cert, Key string }
+
 // Group is what a front needs of a service group beside the module's terms.
 type Group struct {
 	Name         string
