Take descriptions from holders, through a bounded cache

Change: choice/describe decides which holder is asked (one question a title at a time, two holders a round, a second each), how long an answer is believed and what serves while none answers; the front carries it out, takes of a description only what it serves and nothing of the box; stand-in boxes describe.

--- a/internal/front/counts.go
+++ b/internal/front/counts.go
@@ -8,7 +8,7 @@
 
 // counts are a front's metrics. Each label has a bounded set of values.
 type counts struct {
-	requests, taken, answers, setups, ends, probes, orphans *prometheus.CounterVec
+	requests, taken, answers, setups, ends, probes, orphans, descriptions *prometheus.CounterVec
 
 	malformed, unauthorized, handshakes, turnedAway, stray, shorts, notes, rungs prometheus.Counter
 
@@ -32,6 +32,7 @@
 		ends:         vec("ends_total", "Ends of sessions that had been served, by cause.", "cause"),
 		probes:       vec("probes_total", "Probes of boxes, by how they ended.", "outcome"),
 		orphans:      vec("orphans_total", "Sessions that boxes set up too late, by what became of them.", "result"),
+		descriptions: vec("descriptions_total", "Descriptions asked of boxes, by what came of it.", "outcome"),
 		malformed:    one("malformed_total", "Connections of viewers ended for malformed input."),
 		unauthorized: one("unauthorized_total", "Requests of viewers with wrong credentials."),
 		handshakes:   one("failed_handshakes_total", "TLS handshakes of viewers that failed or took too long."),
@@ -50,7 +51,7 @@
 	if reg == nil {
 		return c, nil
 	}
-	for _, m := range []prometheus.Collector{c.requests, c.taken, c.answers, c.setups, c.ends, c.probes, c.orphans,
+	for _, m := range []prometheus.Collector{c.requests, c.taken, c.answers, c.setups, c.ends, c.probes, c.orphans, c.descriptions,
 		c.malformed, c.unauthorized, c.handshakes, c.turnedAway, c.stray, c.shorts, c.notes, c.rungs, c.sessions, c.settle, c.answerIn} {
 		if err := reg.Register(m); err != nil {
 			return nil, fmt.Errorf("registering metrics: %w", err)
--- a/internal/front/describe.go
+++ b/internal/front/describe.go
@@ -1,56 +1,173 @@
 package front
 
 import (
+	"errors"
 	"fmt"
+	"strings"
+	"time"
 
 	"github.com/pion/sdp/v3"
 
+	"rainhaven/choice"
+	"rainhaven/choice/describe"
 	"rainhaven/internal/rtsp"
 )
 
-// media are the tracks of every title: video and sound, as boxes hold them.
+// media are the tracks of a title: video and sound, as boxes hold them.
 var media = [...]struct {
-	kind, codec string
-	payload     int
-	clock       uint32
+	kind  string
+	clock uint32
 }{
-	{"video", "H264/90000", 96, 90000},
-	{"audio", "MPEG4-GENERIC/48000/2", 97, 48000},
+	{"video", 90000},
+	{"audio", 48000},
 }
 
-// describe answers DESCRIBE with the title's description (RFC 4566, as section C of RFC 2326 uses it).
+// describe answers DESCRIBE from the cache, or has a holder asked. Requests that wait hold their connections' slots, so
+// there are as many as those at most.
 func (v *viewer) describe(s *slot) {
-	m := s.req
-	p, err := rtsp.ParsePlace(m.URL)
-	title, known := v.f.terms.Titles[p.Title]
-	if err != nil || v.f.terms.GroupIndex(p.Group) < 0 || !known {
+	f := v.f
+	p, err := rtsp.ParsePlace(s.req.URL)
+	title, known := f.terms.Titles[p.Title]
+	if err != nil || f.terms.GroupIndex(p.Group) < 0 || !known {
 		v.status(s, rtsp.NotFound)
 		return
 	}
-	p.Track = -1
-	d := sdp.SessionDescription{
-		Origin: sdp.Origin{Username: "-", SessionID: 1, SessionVersion: 1, NetworkType: "IN", AddressType: "IP4",
-			UnicastAddress: "127.0.0.1"},
-		SessionName:           sdp.SessionName(p.Title),
+	f.wait[p.Title] = append(f.wait[p.Title], waiter{v, s, p})
+	step, box, body := f.described.Want(f.now(), p.Title, title.StartCell, title.Span)
+	f.carryDescription(p.Title, step, box, body)
+}
+
+// waiter is a viewer's DESCRIBE that has no answer yet.
+type waiter struct {
+	v *viewer
+	s *slot
+	p rtsp.Place
+}
+
+// carryDescription carries out a step for a title.
+func (f *Front) carryDescription(title string, step describe.Step, box choice.ServerID, body []byte) {
+	switch step {
+	case describe.Ask:
+		f.askDescription(title, box)
+	case describe.Answer, describe.Fail:
+		list := f.wait[title]
+		delete(f.wait, title)
+		for _, w := range list {
+			w.answer(body)
+		}
+	}
+}
+
+func (w waiter) answer(body []byte) {
+	if body == nil {
+		w.v.status(w.s, rtsp.GatewayTimeout)
+		return
+	}
+	w.p.Track = -1
+	r := rtsp.Response(w.s.req, rtsp.OK).With("Content-Type", "application/sdp").With("Content-Base", w.p.URL()+"/")
+	r.Body = append([]byte(nil), body...)
+	w.v.respond(w.s, r)
+}
+
+// askDescription asks a holder and hears it out for its time.
+func (f *Front) askDescription(title string, box choice.ServerID) {
+	t := f.terms.Titles[title]
+	over := false
+	got := func(body []byte, outcome string) {
+		if over {
+			return
+		}
+		over = true
+		f.count.descriptions.WithLabelValues(outcome).Inc()
+		step, next, b := f.described.Got(f.now(), title, box, body, t.StartCell, t.Span)
+		f.carryDescription(title, step, next, b)
+	}
+	f.connect(f.context, box, func(c *boxConn) {
+		if c == nil {
+			got(nil, "no connection")
+			return
+		}
+		timer := time.AfterFunc(time.Duration(describe.AskTime*1e9), func() {
+			f.post(func() {
+				if !over {
+					got(nil, "timed out")
+					c.close()
+				}
+			})
+		})
+		url := rtsp.Place{Host: c.host, Group: f.terms.Groups[0].Name, Title: title, Track: -1}.URL()
+		c.send(rtsp.Request(rtsp.Describe, url).With("Accept", "application/sdp"), func(m *rtsp.Message) {
+			timer.Stop()
+			if m == nil {
+				got(nil, "broken")
+				return
+			}
+			if over {
+				return
+			}
+			c.idle()
+			body, err := description(m.Body)
+			switch {
+			case m.Status != rtsp.OK:
+				got(nil, fmt.Sprint(m.Status))
+			case err != nil:
+				f.log.Info("a box's description can't be used")
+				got(nil, "unusable")
+			default:
+				got(body, "taken")
+			}
+		})
+	})
+}
+
+// mostSDP bounds a description; those of two tracks take under 1 kB.
+const mostSDP = 16 << 10
+
+// description makes a box's description the front's: one video track and at most one of sound, in that order, with the
+// clocks that the relay counts by; where each is found is told relative to Content-Base, and of the box nothing stays.
+func description(body []byte) ([]byte, error) {
+	if len(body) == 0 || len(body) > mostSDP {
+		return nil, fmt.Errorf("a description of %d bytes", len(body))
+	}
+	var in sdp.SessionDescription
+	if err := in.Unmarshal(body); err != nil {
+		return nil, err
+	}
+	if n := len(in.MediaDescriptions); n == 0 || n > len(media) {
+		return nil, fmt.Errorf("%d tracks", n)
+	}
+	out := sdp.SessionDescription{
+		Origin:                sdp.Origin{Username: "-", SessionID: in.Origin.SessionID, SessionVersion: in.Origin.SessionVersion, NetworkType: "IN", AddressType: "IP4", UnicastAddress: "0.0.0.0"},
+		SessionName:           "-",
 		ConnectionInformation: &sdp.ConnectionInformation{NetworkType: "IN", AddressType: "IP4", Address: &sdp.Address{Address: "0.0.0.0"}},
 		TimeDescriptions:      []sdp.TimeDescription{{}},
+		Attributes:            append(kept(in.Attributes, "range"), sdp.NewAttribute("control", "*")),
 	}
-	d.Attributes = append(d.Attributes, sdp.NewAttribute("control", p.URL()))
-	if title.Length > 0 {
-		d.Attributes = append(d.Attributes, sdp.NewAttribute("range", fmt.Sprintf("npt=0-%.3f", title.Length)))
-	}
-	for i, t := range media {
-		d.MediaDescriptions = append(d.MediaDescriptions, &sdp.MediaDescription{
-			MediaName: sdp.MediaName{Media: t.kind, Protos: []string{"RTP", "AVP"}, Formats: []string{fmt.Sprint(t.payload)}},
-			Attributes: []sdp.Attribute{sdp.NewAttribute("rtpmap", fmt.Sprintf("%d %s", t.payload, t.codec)),
-				sdp.NewAttribute("control", fmt.Sprintf("track%d", i))}})
+	for i, m := range in.MediaDescriptions {
+		if m.MediaName.Media != media[i].kind || len(m.MediaName.Formats) == 0 {
+			return nil, fmt.Errorf("track %d is %.20q", i, m.MediaName.Media)
+		}
+		clock := false
+		for _, a := range m.Attributes {
+			clock = clock || a.Key == "rtpmap" && strings.Contains(a.Value, fmt.Sprintf("/%d", media[i].clock))
+		}
+		if !clock {
+			return nil, errors.New("a track whose clock is not the one served")
+		}
+		out.MediaDescriptions = append(out.MediaDescriptions, &sdp.MediaDescription{
+			MediaName:  sdp.MediaName{Media: m.MediaName.Media, Protos: []string{"RTP", "AVP"}, Formats: m.MediaName.Formats},
+			Attributes: append(kept(m.Attributes, "rtpmap", "fmtp", "framerate", "lang"), sdp.NewAttribute("control", fmt.Sprintf("track%d", i)))})
 	}
-	body, err := d.Marshal()
-	if err != nil {
-		v.status(s, rtsp.InternalError)
-		return
+	return out.Marshal()
+}
+
+func kept(list []sdp.Attribute, keys ...string) (out []sdp.Attribute) {
+	for _, a := range list {
+		for _, k := range keys {
+			if a.Key == k && !strings.ContainsAny(a.Value, "\r\n") {
+				out = append(out, a)
+			}
+		}
 	}
-	r := rtsp.Response(m, rtsp.OK).With("Content-Type", "application/sdp").With("Content-Base", p.URL()+"/")
-	r.Body = body
-	v.respond(s, r)
+	return out
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -41,6 +41,7 @@
 	"go.uber.org/zap"
 
 	"rainhaven/choice"
+	"rainhaven/choice/describe"
 	"rainhaven/choice/entry"
 	"rainhaven/choice/hearing"
 	"rainhaven/choice/limits"
@@ -78,19 +79,21 @@
 	open    atomic.Int64 // viewers' connections
 
 	// Owned by the loop.
-	table   *session.Table
-	gate    *entry.Gate // nil where no users are named
-	ear     *hearing.Ear
-	keeper  *pool.Keeper
-	address map[choice.ServerID]string // of boxes listed; a box that left is kept while sessions are there
-	viewers map[*viewer]struct{}       // emptied as connections close
-	sess    map[choice.SessID]*sess    // emptied as sessions end
-	atBox   map[choice.SessID]*boxConn // sessions' connections to their boxes; emptied as those are given back
-	conns   map[pool.Conn]*boxConn     // emptied as connections close
-	late    int                        // withdrawn SETUPs whose answer is waited for
-	serial  uint64
-	after   []func() // what an order brings about at once; emptied by the loop
-	drained func()   // called once when the last session is over after Drain
+	table     *session.Table
+	gate      *entry.Gate // nil where no users are named
+	ear       *hearing.Ear
+	keeper    *pool.Keeper
+	address   map[choice.ServerID]string // of boxes listed; a box that left is kept while sessions are there
+	viewers   map[*viewer]struct{}       // emptied as connections close
+	sess      map[choice.SessID]*sess    // emptied as sessions end
+	atBox     map[choice.SessID]*boxConn // sessions' connections to their boxes; emptied as those are given back
+	conns     map[pool.Conn]*boxConn     // emptied as connections close
+	described *describe.Cache
+	wait      map[string][]waiter // DESCRIBEs without answer, by title; emptied as a holder answers or none does
+	late      int                 // withdrawn SETUPs whose answer is waited for
+	serial    uint64
+	after     []func() // what an order brings about at once; emptied by the loop
+	drained   func()   // called once when the last session is over after Drain
 }
 
 // mostEvents may wait for the loop before those who bring more wait themselves.
@@ -140,6 +143,7 @@
 	}
 	f.table = session.New(f.now(), terms.Figures, bounds, orders)
 	f.ear = hearing.New(terms.Figures.NoteEvery)
+	f.described, f.wait = describe.New(terms.Figures.Cells), map[string][]waiter{}
 	f.keeper = pool.New(terms.Bounds.BoxConnections)
 	f.boxes(true, terms.Boxes)
 	for _, h := range o.Handed {
@@ -294,6 +298,7 @@
 		}
 	}
 	f.table.Directory(whole, listings)
+	f.described.Boxes(whole, listings)
 }
 
 // Serve takes viewers from a listener until it fails or the front is closed; then it returns nil. Several listeners
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -270,6 +270,43 @@
 		With("Transport", "RTP/AVP/TCP;unicast")
 }
 
+func TestDescriptionsComeFromHolders(t *testing.T) {
+	for name, c := range map[string]struct {
+		do     func(b *bench)
+		status int
+	}{
+		"both well":               {func(*bench) {}, 200},
+		"one lies":                {func(b *bench) { b.boxes[0].Lie(true) }, 200},
+		"one hangs":               {func(b *bench) { b.boxes[1].HoldAnswers() }, 200},
+		"one is down":             {func(b *bench) { b.boxes[0].Kill() }, 200},
+		"one lies, another hangs": {func(b *bench) { b.boxes[0].Lie(true); b.boxes[1].HoldAnswers() }, 504},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 2, nil)
+			c.do(b)
+			var all []*rtsp.Conn
+			for range 4 { // who ask together are answered from one question
+				x := b.dial()
+				x.Write(rtsp.Request(rtsp.Describe, "rtsp://"+b.addr+"/clips/vents").With("CSeq", "1").Append(nil))
+				all = append(all, x)
+			}
+			for _, x := range all {
+				m, _, err := x.Next()
+				if err != nil || m.Status != c.status || c.status == 200 && !strings.Contains(string(m.Body), "a=control:track1") {
+					t.Fatalf("%+v %v", m, err)
+				}
+			}
+			if n := metric(b, "rainhaven_descriptions_total", "taken"); c.status == 200 && n != 1 {
+				t.Errorf("%v descriptions taken for four viewers", n)
+			}
+			for _, x := range b.boxes {
+				x.Unhang()
+			}
+			b.rules()
+		})
+	}
+}
+
 func TestOnlyUsersEnter(t *testing.T) {
 	b := newBench(t, 1, func(terms *settings.Terms, _ *box.Site) {
 		terms.Realm, terms.Users = "r", []entry.User{{Name: "lena", Password: "pw"}}
--- a/internal/lab/box/box.go
+++ b/internal/lab/box/box.go
@@ -398,6 +398,13 @@
 	switch m.Method {
 	case rtsp.Setup:
 		return b.setup(c, m)
+	case rtsp.Describe:
+		r := rtsp.Response(m, rtsp.OK).With("Content-Type", "application/sdp").With("Content-Base", m.URL+"/")
+		if r.Body = []byte(description); b.lies {
+			r.Body = []byte("v=0\r\nm=none")
+		}
+		b.reply(c, m, r)
+		return true
 	case rtsp.Options:
 		b.reply(c, m, rtsp.Response(m, rtsp.OK).With("Public", "OPTIONS, SETUP, PLAY, PAUSE, GET_PARAMETER, SET_PARAMETER, TEARDOWN"))
 		return true
@@ -460,6 +467,10 @@
 	return true
 }
 
+// description is that of every title: video and sound.
+const description = "v=0\r\no=- 1 1 IN IP4 127.0.0.1\r\ns=-\r\nt=0 0\r\na=control:*\r\nm=video 0 RTP/AVP 96\r\na=rtpmap:96 H264/90000\r\n" +
+	"a=control:track0\r\nm=audio 0 RTP/AVP 97\r\na=rtpmap:97 MPEG4-GENERIC/48000/2\r\na=control:track1\r\n"
+
 // setup answers a SETUP after the time that it takes. Called with the box locked; the wait is without.
 func (b *Box) setup(c *conn, m *rtsp.Message) bool {
 	p, err := rtsp.ParsePlace(m.URL)
--- a/internal/lab/box/faults.go
+++ b/internal/lab/box/faults.go
@@ -40,8 +40,8 @@
 	late     float64 // reports are so much older
 	aged     float64 // SETUPs take so many times longer
 
-	hung, held, down, fallen, refuses, deafToRungs bool
-	errors, breaks, keeps                          int // of the next SETUPs, SETUPs, TEARDOWNs
+	hung, held, down, fallen, refuses, deafToRungs, lies bool
+	errors, breaks, keeps                                int // of the next SETUPs, SETUPs, TEARDOWNs
 
 	quit chan struct{}
 	work sync.WaitGroup
@@ -131,6 +131,9 @@
 // DeafToRungs has changes of rung refused.
 func (b *Box) DeafToRungs(on bool) { b.set(func() { b.deafToRungs = on }) }
 
+// Lie has descriptions be none.
+func (b *Box) Lie(on bool) { b.set(func() { b.lies = on }) }
+
 // Slow makes the link give so many times less; 1 ends it.
 func (b *Box) Slow(times float64) { b.set(func() { b.slow = max(times, 1) }) }
 
