Send viewers to another front while one drains

Change: front(redirect) names a front; Drain sends each viewer with a session a REDIRECT with the Location of the same title there; the stand-in viewer obeys.

Measured: on sockets, a viewer of an endless title leaves without a lost packet and is served by the other front; the drain ends at once.

--- a/internal/front/counts.go
+++ b/internal/front/counts.go
@@ -10,7 +10,7 @@
 type counts struct {
 	requests, taken, answers, setups, ends, probes, orphans, descriptions *prometheus.CounterVec
 
-	malformed, unauthorized, handshakes, turnedAway, stray, shorts, notes, rungs prometheus.Counter
+	malformed, unauthorized, handshakes, redirects, turnedAway, stray, shorts, notes, rungs prometheus.Counter
 
 	sessions prometheus.Gauge
 	settle   prometheus.Histogram
@@ -35,6 +35,7 @@
 		descriptions: vec("descriptions_total", "Descriptions asked of boxes, by what came of it.", "outcome"),
 		malformed:    one("malformed_total", "Connections of viewers ended for malformed input."),
 		unauthorized: one("unauthorized_total", "Requests of viewers with wrong credentials."),
+		redirects:    one("redirects_total", "Viewers asked to go on at another front."),
 		handshakes:   one("failed_handshakes_total", "TLS handshakes of viewers that failed or took too long."),
 		turnedAway:   one("turned_away_total", "Connections of viewers closed because too many were open."),
 		stray:        one("stray_total", "Frames and answers that belong to nothing."),
@@ -52,7 +53,7 @@
 		return c, nil
 	}
 	for _, m := range []prometheus.Collector{c.requests, c.taken, c.answers, c.setups, c.ends, c.probes, c.orphans, c.descriptions,
-		c.malformed, c.unauthorized, c.handshakes, c.turnedAway, c.stray, c.shorts, c.notes, c.rungs, c.sessions, c.settle, c.answerIn} {
+		c.malformed, c.unauthorized, c.handshakes, c.redirects, c.turnedAway, c.stray, c.shorts, c.notes, c.rungs, c.sessions, c.settle, c.answerIn} {
 		if err := reg.Register(m); err != nil {
 			return nil, fmt.Errorf("registering metrics: %w", err)
 		}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -31,8 +31,10 @@
 	"encoding/binary"
 	"encoding/hex"
 	"errors"
+	"maps"
 	"net"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,6 +49,7 @@
 	"rainhaven/choice/limits"
 	"rainhaven/choice/pool"
 	"rainhaven/choice/session"
+	"rainhaven/internal/rtsp"
 	"rainhaven/internal/settings"
 )
 
@@ -353,11 +356,12 @@
 	}
 }
 
-// Drain has new requests busy-replied and returns when the last session is over or the context is done.
+// Drain has new requests busy-replied, sends viewers elsewhere where the terms say so, and returns when the last session is over or the context is done.
 func (f *Front) Drain(ctx context.Context) {
 	over := make(chan struct{})
 	f.post(func() {
 		f.table.Stop()
+		f.redirect()
 		f.drained = func() { close(over) }
 	})
 	select {
@@ -367,6 +371,24 @@
 	}
 }
 
+// redirect asks each viewer with a session to go on at another front (RFC 2326, section 10.10). Those that don't know the
+// request play on until the drain's end.
+func (f *Front) redirect() {
+	if f.terms.Redirect == "" {
+		return
+	}
+	for v := range f.viewers {
+		for _, id := range slices.Sorted(maps.Keys(v.sess)) {
+			x := v.sess[id]
+			to := rtsp.Place{Host: f.terms.Redirect, Group: x.place.Group, Title: x.place.Title, Track: -1, Query: x.place.Query}
+			v.asked++
+			m := rtsp.Request(rtsp.Redirect, v.url(x)).With("CSeq", strconv.Itoa(v.asked)).With("Session", string(id)).With("Location", to.URL())
+			v.out.Message(m.Append(nil))
+			f.count.redirects.Inc()
+		}
+	}
+}
+
 // Close ends the front: each request gets its answer, sessions are torn down, connections closed.
 func (f *Front) Close() {
 	f.closing.Store(true)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -703,6 +703,42 @@
 	b.eventually("nor do the boxes", func() bool { return b.boxes[0].Sessions()+b.boxes[1].Sessions() == 0 })
 }
 
+// Viewers are sent to another front while one drains, and the drain ends at once.
+func TestDrainSendsViewersElsewhere(t *testing.T) {
+	other := newBench(t, 1, nil)
+	b := newBench(t, 1, func(terms *settings.Terms, _ *box.Site) { terms.Redirect = other.addr })
+	playing, done := make(chan struct{}), make(chan player.Seen, 1)
+	w := b.want("clips")
+	w.Watch = 0
+	w.Live = func(player.Seen) {
+		select {
+		case <-playing:
+		default:
+			close(playing)
+		}
+	}
+	go func() {
+		seen, err := player.Watch(context.Background(), w)
+		if err != nil {
+			t.Error(err)
+		}
+		done <- seen
+	}()
+	<-playing
+	b.Drain(context.Background())
+	seen := <-done
+	if seen.SentTo != other.addr || seen.Lost+seen.Jumps > 0 {
+		t.Fatalf("%+v", seen)
+	}
+	w = other.want("clips")
+	w.Address = seen.SentTo
+	if seen, err := player.Watch(context.Background(), w); err != nil || seen.Status != 200 {
+		t.Errorf("at the other front: %+v %v", seen, err)
+	}
+	b.rules()
+	other.rules()
+}
+
 func TestCloseAnswersWhatIsOpen(t *testing.T) {
 	b := newBench(t, 1, nil)
 	b.boxes[0].HoldAnswers()
--- a/internal/front/viewer.go
+++ b/internal/front/viewer.go
@@ -36,6 +36,7 @@
 	serial int
 	num    uint64
 	wrong  int // credentials that were
+	asked  int // requests sent to it
 	closed bool
 }
 
@@ -283,6 +284,13 @@
 	return false
 }
 
+// url is a session's presentation as its viewer named it.
+func (v *viewer) url(x *sess) string {
+	p := x.place
+	p.Track = -1
+	return p.URL()
+}
+
 // method keeps a metric's labels to those that are known.
 func method(m string) string {
 	if strings.Contains(public, m) && len(m) > 3 && !strings.Contains(m, ",") {
--- a/internal/lab/player/player.go
+++ b/internal/lab/player/player.go
@@ -11,6 +11,7 @@
 	"io"
 	"math"
 	"net"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -58,6 +59,7 @@
 	Rung       int     // the last
 	Ended      bool    // by the title's end or the viewer's own wish
 	Broke      bool    // by the other side
+	SentTo     string  // where the front asked it to go on; it has left then
 }
 
 // Share is what was delivered of the rate.
@@ -82,6 +84,7 @@
 	seq    [2]uint16
 	ts     uint32
 	bye    bool
+	to     string // the front's Location, to go on at
 	frames [2]int
 	offer  map[string]string // the front's challenge, once it came
 }
@@ -270,7 +273,7 @@
 func (p *play) watch(ctx context.Context, session string) error {
 	alive := time.Now()
 	told := time.Now()
-	for !p.bye && (p.w.Watch == 0 || p.seen.Media < p.w.Watch) && ctx.Err() == nil {
+	for !p.bye && p.to == "" && (p.w.Watch == 0 || p.seen.Media < p.w.Watch) && ctx.Err() == nil {
 		if p.w.LeaveAfter > 0 && time.Since(p.asked).Seconds() >= p.w.LeaveAfter {
 			return nil // just gone
 		}
@@ -292,6 +295,14 @@
 			return p.broke(err)
 		case m == nil:
 			p.frame(f)
+		case m.IsRequest():
+			status := rtsp.NotImplemented
+			if u, err := url.Parse(m.Header.Get("Location")); m.Method == rtsp.Redirect && err == nil && u.Host != "" {
+				status, p.to = rtsp.OK, u.Host
+			}
+			if _, err := p.c.Write(rtsp.Response(m, status).Append(nil)); err != nil {
+				return p.broke(err)
+			}
 		case !m.IsRequest() && m.Status != rtsp.OK:
 			return p.broke(fmt.Errorf("the front answers %d %s", m.Status, m.Reason))
 		}
@@ -309,7 +320,7 @@
 			p.w.Live(s)
 		}
 	}
-	p.seen.Ended = true
+	p.seen.Ended, p.seen.SentTo = true, p.to
 	p.c.SetDeadline(time.Time{})
 	_, err := p.c.RoundTrip(p.request(rtsp.TearDown, p.url(-1)).With("Session", session), 3*time.Second, func(*rtsp.Message, rtsp.Frame) {})
 	if err != nil && !p.bye {
--- a/internal/settings/read.go
+++ b/internal/settings/read.go
@@ -82,6 +82,7 @@
 		{Name: "tls_listen", Kind: Text, Doc: "host:port for viewers over TLS; empty is none"},
 		{Name: "cert", Kind: Text, Doc: "file of the certificate for TLS, and of those that signed it"},
 		{Name: "key", Kind: Text, Doc: "file of its key"},
+		{Name: "redirect", Kind: Text, Doc: "host:port of a front that viewers are sent to while this one drains; empty is none"},
 		{Name: "admin", Kind: Text, Doc: "host:port for health and metrics; empty is none"},
 		{Name: "me", Kind: Whole, Doc: "its number among the fronts, from 0"},
 		{Name: "fronts", Kind: Whole, Default: 1.0, Min: 1, Doc: "how many fronts there are"},
@@ -120,7 +121,7 @@
 	e, _ := s.One("front")
 	t.Name, t.Listen, t.Admin = e.Text("name"), e.Text("listen"), e.Text("admin")
 	t.Figures.Me, t.Figures.Fronts, t.Figures.Seed = e.Int("me"), max(e.Int("fronts"), 1), uint64(e.Number("seed"))
-	t.Figures.Zone = t.zone(s, e)
+	t.Figures.Zone = t.Zone(s, e)
 	if t.Realm = e.Text("realm"); strings.ContainsAny(t.Realm, "\"\\\r\n") {
 		s.Wrong(e.Line, "front: realm %q stands between quotes; none within would be right", t.Realm)
 	}
@@ -137,25 +138,26 @@
 	if strings.ContainsAny(t.Name, "/ \t\\") {
 		s.Wrong(e.Line, "front: name %q is used for files; letters, digits, dots and dashes are right", t.Name)
 	}
+	t.Redirect = e.Text("redirect")
 	t.TLS = Pair{e.Text("tls_listen"), e.Text("cert"), e.Text("key")}
 	if t.TLS.Listen != "" && (t.TLS.Cert == "" || t.TLS.Key == "") {
 		s.Wrong(e.Line, "front: tls_listen needs cert and key, two files")
 	}
-	for _, field := range []string{"listen", "admin", "tls_listen"} {
+	for _, field := range []string{"listen", "admin", "tls_listen", "redirect"} {
 		if a := e.Text(field); a != "" {
 			address(s, e, "front", field, a)
 		}
 	}
 	seen := map[string]int{}
 	for _, e := range s.All("box") {
-		b := Box{Address: e.Text("address"), Listing: choice.Listing{ID: choice.ServerID(e.Number("id")), Zone: t.zone(s, e),
+		b := Box{Address: e.Text("address"), Listing: choice.Listing{ID: choice.ServerID(e.Number("id")), Zone: t.Zone(s, e),
 			Cell: e.Int("cell"), Heft: 1, Born: e.Number("born")}}
 		address(s, e, "box", "address", b.Address)
 		if line, twice := seen[b.Address]; twice && b.Address != "" {
 			s.Wrong(e.Line, "box: address %s is that of the box on line %d", b.Address, line)
 		}
 		seen[b.Address] = e.Line
-		b.Kind = t.kind(s, e)
+		b.Kind = t.Kind(s, e)
 		switch e.Text("state") {
 		case "ready":
 			b.State = choice.Ready
@@ -283,35 +285,23 @@
 	}
 }
 
-func (t *Terms) zone(s *Sheet, e Entry) int {
-	name := e.Text("zone")
+// named is the number of the name in an entry's field among those declared; 0 where the field is empty.
+func named(s *Sheet, e Entry, field string, declared []string) int {
+	name := e.Text(field)
 	if name == "" {
 		return 0
 	}
-	i := slices.Index(t.Zones, name)
+	i := slices.Index(declared, name)
 	if i < 0 {
-		s.Wrong(e.Line, "zone %s is not declared%s", name, nearest(name, t.Zones))
-		return 0
-	}
-	return i
-}
-
-func (t *Terms) kind(s *Sheet, e Entry) int {
-	name := e.Text("kind")
-	if name == "" {
-		return 0
-	}
-	i := slices.Index(t.Kinds, name)
-	if i < 0 {
-		s.Wrong(e.Line, "kind %s is not declared%s", name, nearest(name, t.Kinds))
+		s.Wrong(e.Line, "%s %s is not declared%s", field, name, nearest(name, declared))
 		return 0
 	}
 	return i
 }
 
 // Zone and Kind are the numbers of an entry's zone and kind.
-func (t *Terms) Zone(s *Sheet, e Entry) int { return t.zone(s, e) }
-func (t *Terms) Kind(s *Sheet, e Entry) int { return t.kind(s, e) }
+func (t *Terms) Zone(s *Sheet, e Entry) int { return named(s, e, "zone", t.Zones) }
+func (t *Terms) Kind(s *Sheet, e Entry) int { return named(s, e, "kind", t.Kinds) }
 
 func address(s *Sheet, e Entry, form, field, a string) {
 	host, port, err := net.SplitHostPort(a)
--- a/internal/settings/terms.go
+++ b/internal/settings/terms.go
@@ -15,14 +15,15 @@
 	TLS    Pair   // for viewers that come over TLS; an empty Listen is none
 	Admin  string // address for health and metrics; empty is none
 
-	Figures choice.StartFigures // Seed 0 is drawn at start
-	Groups  []Group             // in the order of Figures.Groups
-	Titles  map[string]Title
-	Boxes   []Box
-	Realm   string
-	Users   []entry.User // none: everyone may enter
-	Zones   []string
-	Kinds   []string
+	Figures  choice.StartFigures // Seed 0 is drawn at start
+	Groups   []Group             // in the order of Figures.Groups
+	Titles   map[string]Title
+	Boxes    []Box
+	Redirect string // host:port that viewers are sent to while the front drains; empty is none
+	Realm    string
+	Users    []entry.User // none: everyone may enter
+	Zones    []string
+	Kinds    []string
 
 	Bounds limits.Bounds
 	Grace  float64 // seconds after which nothing new may reach a box that drains; the module needs none of it
