Pass viewers' receiver reports on to boxes, and stop floods of frames at the door

Change: reports go to the box about the source it sends now, their shares lost into a histogram; past 50 frames a second of one connection they are dropped before the loop (choice/limits).

Measured: on sockets a report reaches the box, of 20,000 flooded frames at most 200 do and over 15,000 are counted, and another session starts within its time meanwhile.

--- a/choice/limits/limits.go
+++ b/choice/limits/limits.go
@@ -45,3 +45,8 @@
 // Handshake is how many seconds a viewer's TLS handshake may take: two round trips and a signature, with room for a poor
 // farm link; a client that never finishes holds its place no longer.
 const Handshake = 5.0
+
+// ViewerFrames is how many frames of one viewer's are looked at within a second. RTCP comes every few seconds a track;
+// against a viewer that floods them, each would take the front's loop some microseconds of everybody's. Harm: none to
+// players that keep RFC 3550's pace by a factor of a hundred.
+const ViewerFrames = 50
--- a/internal/front/counts.go
+++ b/internal/front/counts.go
@@ -14,6 +14,7 @@
 
 	sessions prometheus.Gauge
 	settle   prometheus.Histogram
+	lost     prometheus.Histogram
 	answerIn *prometheus.HistogramVec
 }
 
@@ -45,6 +46,8 @@
 		sessions:     prometheus.NewGauge(prometheus.GaugeOpts{Name: "rainhaven_sessions", Help: "Sessions held."}),
 		settle: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "rainhaven_settle_seconds",
 			Help: "Time to settle one batch of events.", Buckets: prometheus.ExponentialBuckets(1e-6, 4, 10)}),
+		lost: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "rainhaven_viewer_lost_share",
+			Help: "Share of packets lost, by viewers' receiver reports.", Buckets: []float64{0, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5}}),
 		answerIn: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "rainhaven_answer_seconds",
 			Help: "Time from a request for a session to its final answer.", Buckets: prometheus.ExponentialBuckets(5e-4, 2, 14)},
 			[]string{"group"}),
@@ -53,7 +56,7 @@
 		return c, nil
 	}
 	for _, m := range []prometheus.Collector{c.requests, c.taken, c.answers, c.setups, c.ends, c.probes, c.orphans, c.descriptions,
-		c.malformed, c.unauthorized, c.handshakes, c.redirects, c.turnedAway, c.stray, c.shorts, c.notes, c.rungs, c.sessions, c.settle, c.answerIn} {
+		c.malformed, c.unauthorized, c.handshakes, c.redirects, c.turnedAway, c.stray, c.shorts, c.notes, c.rungs, c.sessions, c.settle, c.lost, c.answerIn} {
 		if err := reg.Register(m); err != nil {
 			return nil, fmt.Errorf("registering metrics: %w", err)
 		}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -307,6 +307,38 @@
 	}
 }
 
+// Receiver reports reach the box; a flood of frames reaches nobody, and others start meanwhile.
+func TestViewersFrames(t *testing.T) {
+	b := newBench(t, 1, nil)
+	c := b.dial()
+	url := "rtsp://" + b.addr + "/clips/vents"
+	r, err := c.RoundTrip(b.setup("1", ""), 5*time.Second, nil)
+	if err != nil || r.Status != 200 {
+		t.Fatal(r, err)
+	}
+	id := r.Session()
+	if r, err = c.RoundTrip(rtsp.Request(rtsp.Play, url).With("CSeq", "2").With("Session", id), 5*time.Second, nil); err != nil || r.Status != 200 {
+		t.Fatal(r, err)
+	}
+	rr := []byte{0x80, 201, 0, 1, 0, 0, 0, 9}
+	c.Write(rtsp.AppendFrame(nil, 1, rr))
+	b.eventually("the report is at the box", func() bool { return b.boxes[0].Count().Reports == 1 })
+	var flood []byte
+	for range 20000 {
+		flood = rtsp.AppendFrame(flood, 1, rr)
+	}
+	go c.Write(flood)
+	if seen, err := player.Watch(context.Background(), b.want("clips")); err != nil || seen.AnswerIn > 1 {
+		t.Errorf("%+v %v", seen, err)
+	}
+	b.eventually("the flood is counted", func() bool { return metric(b, "rainhaven_stray_total", "") > 15000 })
+	if n := b.boxes[0].Count().Reports; n > 200 {
+		t.Errorf("%d frames reached the box", n)
+	}
+	c.Close()
+	b.rules()
+}
+
 func TestOnlyUsersEnter(t *testing.T) {
 	b := newBench(t, 1, func(terms *settings.Terms, _ *box.Site) {
 		terms.Realm, terms.Users = "r", []entry.User{{Name: "lena", Password: "pw"}}
--- a/internal/front/viewer.go
+++ b/internal/front/viewer.go
@@ -129,6 +129,8 @@
 // read takes requests until the connection ends.
 func (v *viewer) read() error {
 	idle := time.Duration((v.f.terms.Bounds.ViewerIdle + 5) * 1e9)
+	var second time.Time
+	frames := 0
 	for {
 		v.conn.SetReadDeadline(time.Now().Add(idle))
 		m, frame, err := v.conn.Next()
@@ -150,7 +152,15 @@
 			return err
 		}
 		if m == nil {
-			v.f.post(func() { v.report(frame.Channel) })
+			if now := time.Now(); now.Sub(second) >= time.Second {
+				second, frames = now, 0
+			}
+			if frames++; frames > limits.ViewerFrames {
+				v.f.count.stray.Inc()
+				continue
+			}
+			p := append([]byte(nil), frame.Payload()...)
+			v.f.post(func() { v.report(frame.Channel, p) })
 			continue
 		}
 		if !m.IsRequest() {
@@ -165,15 +175,21 @@
 	}
 }
 
-// report takes RTCP of the viewer's as a sign of life.
-func (v *viewer) report(channel byte) {
+// report takes RTCP of the viewer's: a sign of life, and passed on to the box.
+func (v *viewer) report(channel byte, p []byte) {
 	for id, s := range v.sess {
-		for _, t := range s.tracks {
-			if t.high == channel {
-				v.f.table.Heard(id)
-				return
-			}
+		to, lost, ok := s.stream.Back(channel, p)
+		if !ok {
+			continue
+		}
+		v.f.table.Heard(id)
+		if lost >= 0 {
+			v.f.count.lost.Observe(lost)
 		}
+		if c := v.f.atBox[id]; c != nil && c.session != "" {
+			c.out.Message(rtsp.AppendFrame(nil, to, p))
+		}
+		return
 	}
 	v.f.count.stray.Inc()
 }
--- a/internal/lab/box/box.go
+++ b/internal/lab/box/box.go
@@ -126,9 +126,10 @@
 
 // Counts are what a box saw.
 type Counts struct {
-	Setups, Full, Withdrawn, Frames, Bytes int64
-	Sessions                               int
-	Fallen                                 bool
+	Setups, Full, Frames, Bytes int64
+	Reports                     int64 // frames that came from fronts
+	Sessions                    int
+	Fallen                      bool
 }
 
 // Count gives the counts so far.
@@ -303,7 +304,11 @@
 			}
 			return
 		}
-		if m == nil || !m.IsRequest() {
+		if m == nil {
+			c.b.set(func() { c.b.counts.Reports++ })
+			continue
+		}
+		if !m.IsRequest() {
 			continue
 		}
 		c.b.received(c, m)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -387,6 +387,36 @@
 	}
 }
 
+// Back makes a viewer's RTCP, which came on a channel of its, the box's: the channel there, and the sources that its
+// reports are about. lost is the largest share lost that it tells, -1 where it tells none; ok is false where it belongs
+// to no track or is broken. The payload is changed in place.
+func (s *Stream) Back(channel byte, p []byte) (to byte, lost float64, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lost = -1
+	for low, t := range s.tracks {
+		if t.RTCP != channel {
+			continue
+		}
+		for len(p) >= 4 {
+			n := (int(binary.BigEndian.Uint16(p[2:])) + 1) * 4
+			if p[0]>>6 != 2 || n > len(p) {
+				return 0, -1, false
+			}
+			first := map[byte]int{200: 28, 201: 8}[p[1]] // sender's and receiver's reports
+			for at := first; first > 0 && at+24 <= n && at < first+24*int(p[0]&31); at += 24 {
+				if t.known && binary.BigEndian.Uint32(p[at:]) == t.ssrc {
+					binary.BigEndian.PutUint32(p[at:], t.from)
+				}
+				lost = max(lost, float64(p[at+4])/256)
+			}
+			p = p[n:]
+		}
+		return low + 1, lost, true
+	}
+	return 0, -1, false
+}
+
 // Bye queues an RTCP BYE (RFC 3550, section 6.6) for each track: the stream is over.
 func (s *Stream) Bye() {
 	s.mu.Lock()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -111,6 +111,28 @@
 	}
 }
 
+func TestReportsGoBackToTheSourceOfNow(t *testing.T) {
+	s := NewStream(NewOut(1<<16), nil)
+	s.Add(4, &Track{RTP: 0, RTCP: 1, Clock: 90000})
+	s.Open()
+	s.Frame(1, 4, packet(1, 100, 77))
+	s.Frame(1, 4, packet(1, 100, 88)) // another source; the viewer still knows the first
+	rr := make([]byte, 32)
+	rr[0], rr[1], rr[3], rr[12] = 0x81, 201, 7, 64
+	binary.BigEndian.PutUint32(rr[8:], 77)
+	to, lost, ok := s.Back(1, rr)
+	if !ok || to != 5 || lost != 0.25 || binary.BigEndian.Uint32(rr[8:]) != 88 {
+		t.Errorf("to %d, lost %v, %v, about %d", to, lost, ok, binary.BigEndian.Uint32(rr[8:]))
+	}
+	if _, _, ok := s.Back(9, rr); ok {
+		t.Error("a channel of no track")
+	}
+	rr[3] = 200
+	if _, _, ok := s.Back(1, rr); ok {
+		t.Error("a report longer than it is")
+	}
+}
+
 func TestSlowViewerLosesFramesOnly(t *testing.T) {
 	a, b := net.Pipe()
 	defer b.Close()
@@ -200,6 +222,7 @@
 		s.Frame(1, 0, packet(1, 1, 9))
 		s.Frame(1, 1, in)
 		s.Frame(1, 0, in)
+		s.Back(1, append([]byte(nil), in...))
 	})
 }
 
