End a connection after the answer where its viewer asks so; tests by concern

Need: RFC 2326 takes Connection: close over from HTTP, and the front passed over a viewer's; the front's test file had grown past what a reader holds.

Change: the answer repeats the field and the connection ends after it; protocol cases stand in a file of their own.

--- /dev/null
+++ b/internal/front/protocol_test.go
@@ -0,0 +1,260 @@
+package front_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"rainhaven/choice/entry"
+	"rainhaven/internal/lab/box"
+	"rainhaven/internal/lab/player"
+	"rainhaven/internal/rtsp"
+	"rainhaven/internal/settings"
+)
+
+func TestPipelinedInOneWrite(t *testing.T) {
+	b := newBench(t, 1, nil)
+	c := b.dial()
+	url := "rtsp://" + b.addr + "/clips/vents"
+	var all []byte
+	all = b.setup("1", "/track0").Append(all)
+	all = rtsp.Request(rtsp.Setup, url+"/track1").With("CSeq", "2").With("Transport", "RTP/AVP/TCP;interleaved=6-7").Append(all)
+	all = rtsp.Request(rtsp.Play, url).With("CSeq", "3").Append(all)
+	all = rtsp.Request(rtsp.TearDown, url).With("CSeq", "4").Append(all)
+	if _, err := c.Write(all); err != nil {
+		t.Fatal(err)
+	}
+	for want := 1; want <= 4; {
+		m, _, err := c.Next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if m == nil {
+			continue
+		}
+		if m.CSeq() != want || m.Status != 200 {
+			t.Fatalf("answer %d: CSeq %d, %d %s", want, m.CSeq(), m.Status, m.Reason)
+		}
+		want++
+	}
+	b.rules()
+	if n := b.boxes[0].Count().Setups; n != 1 {
+		t.Errorf("%d SETUPs for a session", n)
+	}
+}
+
+func TestPauseAndSeek(t *testing.T) {
+	b := newBench(t, 1, nil)
+	c := b.dial()
+	url := "rtsp://" + b.addr + "/clips/vents"
+	r, err := c.RoundTrip(b.setup("1", ""), 5*time.Second, nil)
+	if err != nil || r.Status != 200 {
+		t.Fatal(r, err)
+	}
+	id, cseq := r.Session(), 1
+	var last uint16
+	var jumps, frames int
+	look := func(m *rtsp.Message, f rtsp.Frame) {
+		if m == nil && f.Channel == 0 {
+			p := f.Payload()
+			if seq := uint16(p[2])<<8 | uint16(p[3]); frames > 0 && seq != last+1 {
+				jumps++
+				last = seq
+			} else {
+				last = seq
+			}
+			frames++
+		}
+	}
+	do := func(method, rng string, want int) *rtsp.Message {
+		cseq++
+		m := rtsp.Request(method, url).With("CSeq", fmt.Sprint(cseq)).With("Session", id)
+		if rng != "" {
+			m.With("Range", rng)
+		}
+		r, err := c.RoundTrip(m, 5*time.Second, look)
+		if err != nil || r.Status != want {
+			t.Fatalf("%s %s: %v %v", method, rng, r, err)
+		}
+		return r
+	}
+	some := func() {
+		for n := frames + 10; frames < n; {
+			m, f, err := c.Next()
+			if err != nil {
+				t.Fatal(err)
+			}
+			look(m, f)
+		}
+	}
+	do(rtsp.Pause, "", rtsp.NotValidInThisState)
+	do(rtsp.Play, "npt=0-", 200)
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	some()
+	do(rtsp.Pause, "", 200)
+	do(rtsp.Play, "smpte=1-", rtsp.InvalidRange)
+	do(rtsp.Play, "npt=100-", 200)
+	some()
+	do(rtsp.GetParameter, "", 200)
+	do(rtsp.TearDown, "", 200)
+	do(rtsp.Play, "", rtsp.SessionNotFound)
+	cseq++
+	m := rtsp.Request(rtsp.Options, "*").With("CSeq", fmt.Sprint(cseq)).With("Connection", "close")
+	if r, err := c.RoundTrip(m, 5*time.Second, look); err != nil || r.Header.Get("Connection") != "close" {
+		t.Errorf("%v %v", r, err)
+	}
+	if _, _, err := c.Next(); err == nil {
+		t.Error("the connection goes on after Connection: close")
+	}
+	if jumps > 0 {
+		t.Errorf("%d leaps in %d frames", jumps, frames)
+	}
+	b.rules()
+}
+
+func TestWhatAFrontTurnsDown(t *testing.T) {
+	b := newBench(t, 1, nil)
+	tcp := "RTP/AVP/TCP;unicast;interleaved=0-1"
+	base := "rtsp://" + b.addr
+	for name, c := range map[string]struct {
+		in     string
+		status int
+	}{
+		"no such title":    {"SETUP " + base + "/clips/none RTSP/1.0\r\nCSeq: 1\r\nTransport: " + tcp + "\r\n\r\n", 404},
+		"no such group":    {"SETUP " + base + "/none/vents RTSP/1.0\r\nCSeq: 1\r\nTransport: " + tcp + "\r\n\r\n", 404},
+		"no such track":    {"SETUP " + base + "/clips/vents/track9 RTSP/1.0\r\nCSeq: 1\r\nTransport: " + tcp + "\r\n\r\n", 404},
+		"UDP only":         {"SETUP " + base + "/clips/vents RTSP/1.0\r\nCSeq: 1\r\nTransport: RTP/AVP;client_port=5-6\r\n\r\n", 461},
+		"other version":    {"OPTIONS * RTSP/2.0\r\nCSeq: 1\r\n\r\n", 505},
+		"no CSeq":          {"OPTIONS * RTSP/1.0\r\n\r\n", 400},
+		"required feature": {"OPTIONS * RTSP/1.0\r\nCSeq: 1\r\nRequire: magic\r\n\r\n", 551},
+		"unknown session":  {"PLAY " + base + "/clips/vents RTSP/1.0\r\nCSeq: 1\r\nSession: x\r\n\r\n", 454},
+		"recording":        {"RECORD " + base + "/clips/vents RTSP/1.0\r\nCSeq: 1\r\nSession: x\r\n\r\n", 405},
+		"no such method":   {"DANCE * RTSP/1.0\r\nCSeq: 1\r\n\r\n", 501},
+		"broken":           {"SETUP\r\n\r\n", 400},
+		"10,000 headers":   {"PLAY x RTSP/1.0\r\nCSeq: 5\r\n" + strings.Repeat("A: b\r\n", 10000) + "\r\n", 413},
+		"parameters":       {"SET_PARAMETER " + base + "/clips/vents RTSP/1.0\r\nCSeq: 1\r\nContent-Length: 2\r\n\r\na:", 451},
+		"options":          {"OPTIONS * RTSP/1.0\r\nCSeq: 1\r\n\r\n", 200},
+		"alive":            {"GET_PARAMETER * RTSP/1.0\r\nCSeq: 1\r\n\r\n", 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn := b.dial()
+			go conn.Write([]byte(c.in))
+			m, _, err := conn.Next()
+			if err != nil || m.Status != c.status {
+				t.Fatalf("%+v %v, want %d", m, err, c.status)
+			}
+		})
+	}
+	// A frame on a channel that was never set up, and half a request, disturb nobody.
+	c := b.dial()
+	c.Write(append(rtsp.AppendFrame(nil, 9, []byte("stray")), "SETUP rtsp"...))
+	c.Close()
+	if _, err := player.Watch(context.Background(), b.want("clips")); err != nil {
+		t.Error(err)
+	}
+	b.rules()
+}
+
+func TestDescriptionsComeFromHolders(t *testing.T) {
+	for name, c := range map[string]struct {
+		do     func(b *bench)
+		status int
+	}{
+		"both well":               {func(*bench) {}, 200},
+		"one lies":                {func(b *bench) { b.boxes[0].Lie(true) }, 200},
+		"one hangs":               {func(b *bench) { b.boxes[1].HoldAnswers() }, 200},
+		"one is down":             {func(b *bench) { b.boxes[0].Kill() }, 200},
+		"one lies, another hangs": {func(b *bench) { b.boxes[0].Lie(true); b.boxes[1].HoldAnswers() }, 504},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 2, nil)
+			c.do(b)
+			var all []*rtsp.Conn
+			for range 4 { // who ask together are answered from one question
+				x := b.dial()
+				x.Write(rtsp.Request(rtsp.Describe, "rtsp://"+b.addr+"/clips/vents").With("CSeq", "1").Append(nil))
+				all = append(all, x)
+			}
+			for _, x := range all {
+				m, _, err := x.Next()
+				if err != nil || m.Status != c.status || c.status == 200 && !strings.Contains(string(m.Body), "a=control:track1") {
+					t.Fatalf("%+v %v", m, err)
+				}
+			}
+			if n := metric(b, "rainhaven_descriptions_total", "taken"); c.status == 200 && n != 1 {
+				t.Errorf("%v descriptions taken for four viewers", n)
+			}
+			for _, x := range b.boxes {
+				x.Unhang()
+			}
+			b.rules()
+		})
+	}
+}
+
+// Receiver reports reach the box; a flood of frames reaches nobody, and others start meanwhile.
+func TestViewersFrames(t *testing.T) {
+	b := newBench(t, 1, nil)
+	c := b.dial()
+	url := "rtsp://" + b.addr + "/clips/vents"
+	r, err := c.RoundTrip(b.setup("1", ""), 5*time.Second, nil)
+	if err != nil || r.Status != 200 {
+		t.Fatal(r, err)
+	}
+	id := r.Session()
+	if r, err = c.RoundTrip(rtsp.Request(rtsp.Play, url).With("CSeq", "2").With("Session", id), 5*time.Second, nil); err != nil || r.Status != 200 {
+		t.Fatal(r, err)
+	}
+	rr := []byte{0x80, 201, 0, 1, 0, 0, 0, 9}
+	c.Write(rtsp.AppendFrame(nil, 1, rr))
+	b.eventually("the report is at the box", func() bool { return b.boxes[0].Count().Reports == 1 })
+	var flood []byte
+	for range 20000 {
+		flood = rtsp.AppendFrame(flood, 1, rr)
+	}
+	go c.Write(flood)
+	if seen, err := player.Watch(context.Background(), b.want("clips")); err != nil || seen.AnswerIn > 1 {
+		t.Errorf("%+v %v", seen, err)
+	}
+	b.eventually("the flood is counted", func() bool { return metric(b, "rainhaven_stray_total", "") > 15000 })
+	if n := b.boxes[0].Count().Reports; n > 200 {
+		t.Errorf("%d frames reached the box", n)
+	}
+	c.Close()
+	b.rules()
+}
+
+func TestOnlyUsersEnter(t *testing.T) {
+	b := newBench(t, 1, func(terms *settings.Terms, _ *box.Site) {
+		terms.Realm, terms.Users = "r", []entry.User{{Name: "lena", Password: "pw"}}
+	})
+	for _, alg := range []string{"SHA-256", "MD5"} {
+		w := b.want("clips")
+		w.User, w.Algorithm, w.Tracks = &entry.User{Name: "lena", Password: "pw"}, alg, 2
+		if seen, err := player.Watch(context.Background(), w); err != nil || seen.Status != 200 {
+			t.Errorf("%s: %+v %v", alg, seen, err)
+		}
+	}
+	w := b.want("clips")
+	w.User = &entry.User{Name: "lena", Password: "guess"}
+	if seen, _ := player.Watch(context.Background(), w); seen.Status != 401 {
+		t.Errorf("a wrong password: %+v", seen)
+	}
+	c := b.dial()
+	for n := 1; ; n++ { // a guesser's connection is ended
+		m := b.setup(fmt.Sprint(n), "").With("Authorization", `Digest username="lena", realm="r", nonce="x"`)
+		r, err := c.RoundTrip(m, 5*time.Second, nil)
+		if err != nil {
+			break
+		}
+		if r.Status != 401 || n > 20 {
+			t.Fatalf("guess %d: %d", n, r.Status)
+		}
+	}
+	if n := b.boxes[0].Count().Setups; n != 2 {
+		t.Errorf("%d SETUPs at the box", n)
+	}
+	b.rules()
+}
--- a/internal/front/viewer.go
+++ b/internal/front/viewer.go
@@ -213,6 +213,9 @@
 
 // respond fills a slot and writes what is ready, in the order of the requests.
 func (v *viewer) respond(s *slot, r *rtsp.Message) {
+	if strings.EqualFold(s.req.Header.Get("Connection"), "close") {
+		r.With("Connection", "close")
+	}
 	s.msg = r
 	for len(v.slots) > 0 && v.slots[0].msg != nil {
 		m := v.slots[0].msg
