Hold early requests for a session handed over, and end connections in their time

Change: requests for a session that is being adopted wait for its box, as many as a connection may pipeline; a connection's end is marked before its last words, and readers look at the mark after they set their deadline.

Measured: the whole-path test, now with the viewer quicker than the way to the box, passes in repetitions under -race.

--- a/internal/front/boxes.go
+++ b/internal/front/boxes.go
@@ -573,7 +573,7 @@
 		x.viewer.status(s, rtsp.SessionNotFound)
 	}
 	if why != session.ByViewer && len(x.viewer.sess) == 0 && len(x.viewer.slots) == 0 {
-		x.viewer.out.Finish()
+		x.viewer.finish()
 	}
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -417,7 +417,7 @@
 // shut closes what is left. Answers already queued get a moment to be written.
 func (f *Front) shut() {
 	for v := range f.viewers {
-		v.out.Finish()
+		v.finish()
 	}
 	for _, b := range f.conns {
 		if b.withdrawn {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -458,7 +458,11 @@
 	}
 	forged := list[0]
 	forged.ID, forged.Session = "forged", "no such session"
-	next, err := front.New(b.terms, front.Options{Handed: append(list, forged)})
+	sent := make(chan struct{}) // the viewer is quicker than the way to the box
+	next, err := front.New(b.terms, front.Options{Handed: append(list, forged), Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		<-sent
+		return net.Dial("tcp", address)
+	}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -476,7 +480,9 @@
 			frames++
 		}
 	}
-	if r, err = d.RoundTrip(rtsp.Request(rtsp.Play, url).With("CSeq", "1").With("Session", id), 5*time.Second, look); err != nil || r.Status != 200 {
+	d.Write(rtsp.Request(rtsp.Play, url).With("CSeq", "1").With("Session", id).Append(nil))
+	close(sent)
+	if r, _, err = d.Next(); err != nil || r == nil || r.Status != 200 {
 		t.Fatal(r, err)
 	}
 	d.SetDeadline(time.Now().Add(5 * time.Second))
--- a/internal/front/handed.go
+++ b/internal/front/handed.go
@@ -54,7 +54,7 @@
 			c.close()
 			f.forget(x)
 			if x.viewer != nil {
-				x.viewer.out.Finish()
+				x.viewer.finish()
 			}
 		}
 	})
@@ -70,7 +70,7 @@
 		return
 	}
 	x := &sess{id: h.ID, group: g, best: h.BestRung, place: rtsp.Place{Group: h.Group, Title: h.Title, Track: -1, Query: h.Query},
-		try: 1, asks: map[int]*slot{}}
+		try: 1, asks: map[int]*slot{}, adopting: true}
 	for _, t := range h.Tracks {
 		x.tracks = append(x.tracks, track{t.Number, t.Low, t.High, t.Box})
 	}
@@ -78,6 +78,13 @@
 	f.table.Adopt(x.id, session.Ask{Group: g, Title: h.Title, StartCell: title.StartCell, Span: title.Span, BestRung: h.BestRung,
 		Length: title.Length}, h.Box, h.Rung)
 	f.connect(f.context, h.Box, func(c *boxConn) {
+		list := x.early
+		x.adopting, x.early = false, nil
+		defer func() {
+			for _, e := range list {
+				f.table.Request(x.id, e.op, e.n)
+			}
+		}()
 		if c == nil {
 			f.table.BoxFailed(x.id, 1)
 			return
--- a/internal/front/viewer.go
+++ b/internal/front/viewer.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -25,10 +26,11 @@
 
 // viewer is one connection of a viewer.
 type viewer struct {
-	f    *Front
-	conn *rtsp.Conn
-	out  *relay.Out
-	room chan struct{} // one for each request without its response; the reader waits beyond
+	f      *Front
+	conn   *rtsp.Conn
+	out    *relay.Out
+	ending atomic.Bool   // what is queued is the last
+	room   chan struct{} // one for each request without its response; the reader waits beyond
 
 	// Owned by the loop.
 	slots  []*slot // requests in their order; emptied as responses are ready
@@ -51,18 +53,20 @@
 
 // sess is a session as it goes over this front's sockets.
 type sess struct {
-	id     choice.SessID
-	viewer *viewer // nil while one that was handed over is not claimed
-	group  int
-	best   int // rung that it can use
-	place  rtsp.Place
-	tracks []track
-	stream *relay.Stream // nil as long
-	asked  float64       // when
-	first  *slot         // of the SETUP that asked for it
-	asks   map[int]*slot // later requests, by number
-	plays  bool
-	answer *rtsp.Message // what the box said to the last PLAY
+	id       choice.SessID
+	viewer   *viewer // nil while one that was handed over is not claimed
+	group    int
+	best     int // rung that it can use
+	place    rtsp.Place
+	tracks   []track
+	stream   *relay.Stream // nil as long
+	asked    float64       // when
+	first    *slot         // of the SETUP that asked for it
+	asks     map[int]*slot // later requests, by number
+	plays    bool
+	adopting bool          // handed over, and its box not reached yet
+	early    []early       // until then
+	answer   *rtsp.Message // what the box said to the last PLAY
 
 	try    int                // of the SETUP ordered last, 0 while none is wanted
 	cancel context.CancelFunc // of a connection that is being made
@@ -133,6 +137,9 @@
 	frames := 0
 	for {
 		v.conn.SetReadDeadline(time.Now().Add(idle))
+		if v.ending.Load() { // set before the writer's own, shorter deadline, which this one may have undone
+			v.conn.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+		}
 		m, frame, err := v.conn.Next()
 		var bad *rtsp.MalformedError
 		if errors.As(err, &bad) {
@@ -175,6 +182,12 @@
 	}
 }
 
+// finish ends the connection once what is queued is written.
+func (v *viewer) finish() {
+	v.ending.Store(true)
+	v.out.Finish()
+}
+
 // report takes RTCP of the viewer's: a sign of life, and passed on to the box.
 func (v *viewer) report(channel byte, p []byte) {
 	for id, s := range v.sess {
@@ -198,7 +211,7 @@
 func (v *viewer) last(r *rtsp.Message) {
 	if !v.closed {
 		v.out.Message(r.Append(nil))
-		v.out.Finish()
+		v.finish()
 	}
 }
 
@@ -226,7 +239,7 @@
 		}
 		v.out.Message(m.Append(nil))
 		if strings.EqualFold(m.Header.Get("Connection"), "close") {
-			v.out.Finish()
+			v.finish()
 		}
 	}
 }
@@ -356,9 +369,20 @@
 	}
 	v.serial++
 	x.asks[v.serial] = s
+	if x.adopting {
+		x.early = append(x.early, early{op, v.serial})
+		return
+	}
 	v.f.table.Request(x.id, op, v.serial)
 }
 
+// early is a request for a session that was handed over, before its box is reached. There are as many as a connection
+// may pipeline.
+type early struct {
+	op session.Op
+	n  int
+}
+
 // setup takes a SETUP: a request for a session, or a further track of one.
 func (v *viewer) setup(s *slot) {
 	f, m := v.f, s.req
