--- a/choice/limits/limits.go
+++ b/choice/limits/limits.go
@@ -50,3 +50,14 @@
 // against a viewer that floods them, each would take the front's loop some microseconds of everybody's. Harm: none to
 // players that keep RFC 3550's pace by a factor of a hundred.
 const ViewerFrames = 50
+
+const (
+	// LateTime is how many seconds a withdrawn SETUP's answer is waited for, to tear down what it set up: boxes that stood
+	// still longer drop sessions of connections that are gone by themselves.
+	LateTime = 10.0
+	// Late is how many such waits there may be at a time; past it a withdrawn SETUP's connection is just closed.
+	Late = 128
+	// ClaimTime is how many seconds a viewer has to claim a session that was handed over: it notices the break at once and
+	// comes back within a second or two; boxes keep sessions without a connection for some seconds.
+	ClaimTime = 10.0
+)
--- a/internal/front/boxes.go
+++ b/internal/front/boxes.go
@@ -42,14 +42,6 @@
 	closed    bool
 }
 
-const (
-	// A withdrawn SETUP's answer is waited for so long, to tear down what it set up: boxes that stood still longer
-	// than this drop sessions of connections that are gone by themselves.
-	lateTime = 10 * time.Second
-	// So many at most at a time; past it a withdrawn SETUP's connection is just closed.
-	mostLate = 128
-)
-
 // connect gives a connection to a box to got, in the loop and after the orders under way; nil where none could be had.
 func (f *Front) connect(ctx context.Context, box choice.ServerID, got func(*boxConn)) {
 	if num, ok := f.keeper.Take(box); ok {
@@ -99,7 +91,7 @@
 		err := c.out.Run(raw, 2*time.Second)
 		if t, ok := raw.(interface{ CloseWrite() error }); ok && err == nil {
 			t.CloseWrite()
-			wait := lateTime
+			wait := time.Duration(limits.LateTime * 1e9)
 			if f.closing.Load() {
 				wait = 200 * time.Millisecond
 			}
@@ -335,7 +327,7 @@
 	delete(f.atBox, id)
 	c.sess, c.withdrawn = nil, true
 	c.stream.Store(nil)
-	if f.late++; f.late > mostLate {
+	if f.late++; f.late > limits.Late {
 		c.close()
 		return
 	}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -131,6 +131,17 @@
 	}
 }
 
+// once closes a channel at a viewer's first live word.
+func once(c chan struct{}) func(player.Seen) {
+	return func(player.Seen) {
+		select {
+		case <-c:
+		default:
+			close(c)
+		}
+	}
+}
+
 func TestOneSessionFromViewerToBoxAndBack(t *testing.T) {
 	b := newBench(t, 3, nil)
 	w := b.want("clips")
@@ -317,13 +328,7 @@
 	}
 	ends, playing := make(chan end, 1), make(chan struct{})
 	w := b.want("clips")
-	w.Watch, w.Live = 2.2, func(player.Seen) {
-		select {
-		case <-playing:
-		default:
-			close(playing)
-		}
-	}
+	w.Watch, w.Live = 2.2, once(playing)
 	go func() {
 		seen, err := player.Watch(context.Background(), w)
 		ends <- end{seen, err}
@@ -385,13 +390,7 @@
 	w := b.want("clips")
 	w.Watch = 0
 	hang := make(chan struct{})
-	w.Live = func(player.Seen) {
-		select {
-		case <-hang:
-		default:
-			close(hang)
-		}
-	}
+	w.Live = once(hang)
 	done := make(chan error, 1)
 	go func() {
 		_, err := player.Watch(context.Background(), w)
@@ -410,13 +409,7 @@
 	playing, done := make(chan struct{}), make(chan error, 1)
 	w := b.want("clips")
 	w.Watch = 1.6
-	w.Live = func(player.Seen) {
-		select {
-		case <-playing:
-		default:
-			close(playing)
-		}
-	}
+	w.Live = once(playing)
 	go func() {
 		_, err := player.Watch(context.Background(), w)
 		done <- err
@@ -510,13 +503,7 @@
 	playing, done := make(chan struct{}), make(chan player.Seen, 1)
 	w := b.want("clips")
 	w.Watch = 0
-	w.Live = func(player.Seen) {
-		select {
-		case <-playing:
-		default:
-			close(playing)
-		}
-	}
+	w.Live = once(playing)
 	go func() {
 		seen, err := player.Watch(context.Background(), w)
 		if err != nil {
--- a/internal/front/handed.go
+++ b/internal/front/handed.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"rainhaven/choice"
+	"rainhaven/choice/limits"
 	"rainhaven/choice/session"
 	"rainhaven/internal/rtsp"
 )
@@ -30,10 +31,6 @@
 	Low, High, Box byte
 }
 
-// claimTime is how long a viewer has to claim a session that was handed over: it notices the break at once and comes
-// back within a second or two; boxes keep sessions without a connection for some seconds.
-const claimTime = 10 * time.Second
-
 // HandOver ends the front and gives up its playing sessions, which stay at their boxes; others are ended as by Close.
 func (f *Front) HandOver() (list []Handed) {
 	f.call(func() {
@@ -98,7 +95,7 @@
 			}
 		})
 	})
-	time.AfterFunc(claimTime, func() {
+	time.AfterFunc(time.Duration(limits.ClaimTime*1e9), func() {
 		f.post(func() {
 			if f.sess[x.id] == x && x.viewer == nil {
 				f.table.ViewerGone(x.id)
--- a/internal/front/tls_test.go
+++ b/internal/front/tls_test.go
@@ -85,13 +85,7 @@
 	playing, done := make(chan struct{}), make(chan error, 1)
 	w := b.want("clips")
 	w.Address, w.TLS, w.Watch = addr, &tls.Config{RootCAs: roots, ServerName: "127.0.0.1"}, 1.6
-	w.Live = func(player.Seen) {
-		select {
-		case <-playing:
-		default:
-			close(playing)
-		}
-	}
+	w.Live = once(playing)
 	go func() {
 		_, err := player.Watch(context.Background(), w)
 		done <- err
