Reach boxes over TLS, and name the first frame after a seek in the viewer's numbers

Need: RTSP end to end asks for TLS towards boxes too, and RTP-Info right after a seek. The numbers told there were those of the next frame, even where the first one after the seek had been quicker than the box's answer. Change: box_tls(roots, name) in the settings; the file of roots is followed as certificates are, and a box that none vouches for counts as out of reach. The relay maps the numbers that a box names to the viewer's. A change of rung that a box refuses, and seeks, are driven on sockets; the bound of pipelined requests stands with the other limits. measure compares builds, TLS and allocations in one run.

--- a/choice/limits/limits.go
+++ b/choice/limits/limits.go
@@ -51,6 +51,10 @@
 // players that keep RFC 3550's pace by a factor of a hundred.
 const ViewerFrames = 50
 
+// Pipelined is how many requests of one viewer's connection may be without their responses; its input waits beyond. SETUPs
+// of all tracks, PLAY, a sign of life and TEARDOWN are six; against a viewer that floods requests, each would take memory.
+const Pipelined = 16
+
 const (
 	// LateTime is how many seconds a withdrawn SETUP's answer is waited for, to tear down what it set up: boxes that stood
 	// still longer drop sessions of connections that are gone by themselves.
--- a/cmd/rainhaven/lab.go
+++ b/cmd/rainhaven/lab.go
@@ -169,7 +169,8 @@
 }
 
 func measureCommand() *cobra.Command {
-	var asJSON bool
+	var asJSON, overTLS bool
+	var against string
 	o := measure.Options{}
 	c := &cobra.Command{Use: "measure", Short: "Compare viewers through a front with the same ones straight at the boxes",
 		Example: "  rainhaven measure\n  rainhaven measure --sessions 1,100,1000 --setups 2000 --reps 5", Args: cobra.NoArgs,
@@ -178,8 +179,12 @@
 			if err != nil {
 				return failure{exitFailed, err}
 			}
-			if o.Program == "" {
-				o.Program = self
+			o.Builds = []measure.Build{{Name: "this", Program: self}}
+			if against != "" {
+				o.Builds = append(o.Builds, measure.Build{Name: "other", Program: against})
+			}
+			if overTLS {
+				o.Builds = append(o.Builds, measure.Build{Name: "this, TLS", Program: self, TLS: true})
 			}
 			if o.Setups < 1 || o.Reps < 1 || o.Seconds <= 0 || len(o.Sessions) == 0 || slices.Min(o.Sessions) < 1 {
 				return fmt.Errorf("--sessions, --setups, --reps and --seconds must be above 0")
@@ -198,7 +203,8 @@
 	c.Flags().IntVar(&o.Setups, "setups", 1000, "set-ups timed, each way in turns")
 	c.Flags().IntVar(&o.Reps, "reps", 5, "transfers at full speed, each way in turns")
 	c.Flags().Float64Var(&o.Seconds, "seconds", 1, "length of a transfer")
-	c.Flags().StringVar(&o.Program, "program", "", "another build of rainhaven to run as front; this one by default")
+	c.Flags().StringVar(&against, "against", "", "another build of rainhaven, measured in turns with this one")
+	c.Flags().BoolVar(&overTLS, "tls", false, "measure viewers over TLS too")
 	c.Flags().BoolVar(&asJSON, "json", false, "the rows as JSON")
 	return c
 }
--- a/cmd/rainhaven/serve.go
+++ b/cmd/rainhaven/serve.go
@@ -61,13 +61,25 @@
 	if err != nil {
 		return failed("the address for viewers: %w", err)
 	}
-	f, err := front.New(t, front.Options{Log: log, Registry: reg})
+	var work sync.WaitGroup
+	defer work.Wait()
+	follow, unfollow := context.WithCancel(context.Background())
+	defer unfollow()
+	o := front.Options{Log: log, Registry: reg}
+	if t.BoxTLS.Roots != "" {
+		roots, err := keys.OpenRoots(t.BoxTLS.Roots, log)
+		if err != nil {
+			l.Close()
+			return failure{exitFailed, err}
+		}
+		work.Go(func() { roots.Follow(follow, 2*time.Second) })
+		o.Dial = roots.Dial(t.BoxTLS.Name)
+	}
+	f, err := front.New(t, o)
 	if err != nil {
 		l.Close()
 		return failure{exitFailed, err}
 	}
-	var work sync.WaitGroup
-	defer work.Wait()
 	defer f.Close()
 	if t.Admin != "" {
 		at, stop, err := admin(t.Admin, f, reg, &work)
@@ -90,13 +102,12 @@
 			l.Close()
 			return failed("the address for viewers over TLS: %w", err)
 		}
-		follow, stop := context.WithCancel(context.Background())
-		defer stop()
+		t.TLS.Listen = tl.Addr().String()
 		work.Go(func() { files.Follow(follow, 2*time.Second) })
 		work.Go(func() { served <- f.ServeTLS(tl, files.TLS()) })
 	}
 	work.Go(func() { served <- f.Serve(l) })
-	log.Info("serving", zap.String("front", t.Name), zap.String("listen", l.Addr().String()), zap.String("admin", t.Admin), zap.Int("boxes", len(t.Boxes)))
+	log.Info("serving", zap.String("front", t.Name), zap.String("listen", l.Addr().String()), zap.String("tls", t.TLS.Listen), zap.String("admin", t.Admin), zap.Int("boxes", len(t.Boxes)))
 	select {
 	case err := <-served:
 		return failed("taking viewers: %w", err)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -12,10 +12,12 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/goleak"
+	"go.uber.org/zap"
 
 	"rainhaven/choice"
 	"rainhaven/choice/limits"
 	"rainhaven/internal/front"
+	"rainhaven/internal/keys"
 	"rainhaven/internal/lab/box"
 	"rainhaven/internal/lab/player"
 	"rainhaven/internal/lab/witness"
@@ -36,6 +38,7 @@
 	wit   *witness.Witness
 	reg   *prometheus.Registry
 	now   func() float64
+	roots *keys.Roots // where boxes are reached over TLS
 }
 
 func newBench(t testing.TB, boxes int, change func(*settings.Terms, *box.Site)) *bench {
@@ -58,6 +61,7 @@
 	if change != nil {
 		change(&b.terms, b.site)
 	}
+	var err error
 	rack := box.NewRack(20000 * float64(boxes))
 	for i := range boxes {
 		x, err := box.Start(b.site, i+1, "", 20000, rack, false)
@@ -69,7 +73,14 @@
 		b.terms.Boxes = append(b.terms.Boxes, settings.Box{Address: x.Address,
 			Listing: choice.Listing{ID: choice.ServerID(i + 1), Cell: i, State: choice.Ready, Heft: 1}})
 	}
-	f, err := front.New(b.terms, front.Options{Registry: b.reg})
+	o := front.Options{Registry: b.reg}
+	if b.terms.BoxTLS.Roots != "" {
+		if b.roots, err = keys.OpenRoots(b.terms.BoxTLS.Roots, zap.NewNop()); err != nil {
+			t.Fatal(err)
+		}
+		o.Dial = b.roots.Dial(b.terms.BoxTLS.Name)
+	}
+	f, err := front.New(b.terms, o)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -356,33 +367,39 @@
 	b.rules()
 }
 
+// A short link has playing sessions stepped down without a frame lost or doubled, and a box that refuses the step leaves
+// them as they were.
 func TestShortBoxStepsItsSessionsDown(t *testing.T) {
-	b := newBench(t, 1, nil)
-	b.boxes[0].Slow(5) // 4,000 of 20,000 kB a second, for four sessions that ask 8,000
-	ctx := context.Background()
-	ends := make(chan player.Seen, 4)
-	for range 4 {
-		go func() {
-			w := b.want("clips")
-			w.Watch = 4
-			seen, err := player.Watch(ctx, w)
-			if err != nil {
-				t.Error(err)
+	for _, deaf := range []bool{false, true} {
+		t.Run(fmt.Sprint("refused ", deaf), func(t *testing.T) {
+			b := newBench(t, 1, nil)
+			b.boxes[0].DeafToRungs(deaf)
+			b.boxes[0].Slow(5) // 4,000 of 20,000 kB a second, for four sessions that ask 8,000
+			ends := make(chan player.Seen, 4)
+			for range 4 {
+				go func() {
+					w := b.want("clips")
+					w.Watch = 4
+					seen, err := player.Watch(context.Background(), w)
+					if err != nil {
+						t.Error(err)
+					}
+					ends <- seen
+				}()
 			}
-			ends <- seen
-		}()
-	}
-	rungs := 0
-	for range 4 {
-		s := <-ends
-		if rungs += s.Rungs; s.Lost+s.Doubled+s.Jumps > 0 {
-			t.Errorf("a change of rung broke the stream: %+v", s)
-		}
-	}
-	if rungs == 0 {
-		t.Error("no playing session was stepped down")
+			rungs := 0
+			for range 4 {
+				s := <-ends
+				if rungs += s.Rungs; s.Lost+s.Doubled+s.Jumps > 0 {
+					t.Errorf("a change of rung broke the stream: %+v", s)
+				}
+			}
+			if asked := metric(b, "rainhaven_rung_changes_total", ""); asked == 0 || (rungs == 0) != deaf {
+				t.Errorf("%v changes asked, %d seen", asked, rungs)
+			}
+			b.rules()
+		})
 	}
-	b.rules()
 }
 
 func TestHungBoxBreaksWithAPlainEnd(t *testing.T) {
--- a/internal/front/protocol_test.go
+++ b/internal/front/protocol_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 	"strings"
 	"testing"
@@ -114,6 +115,47 @@
 	b.rules()
 }
 
+// Whatever frames are under way at a seek, RTP-Info names the first one after it by the numbers that the viewer gets.
+func TestSeekNamesItsFirstFrame(t *testing.T) {
+	b := newBench(t, 1, func(_ *settings.Terms, site *box.Site) { site.FPS = 1000 })
+	c := b.dial()
+	url := "rtsp://" + b.addr + "/clips/vents"
+	r, err := c.RoundTrip(b.setup("1", ""), 5*time.Second, nil)
+	if err != nil || r.Status != 200 {
+		t.Fatal(r, err)
+	}
+	id, got := r.Session(), map[uint16]uint32{}
+	look := func(m *rtsp.Message, f rtsp.Frame) {
+		if p := f.Payload(); m == nil && f.Channel == 0 {
+			got[binary.BigEndian.Uint16(p[2:])] = binary.BigEndian.Uint32(p[4:])
+		}
+	}
+	for n := range 50 {
+		m := rtsp.Request(rtsp.Play, url).With("CSeq", fmt.Sprint(2+n)).With("Session", id).With("Range", fmt.Sprintf("npt=%d-", n*37%200))
+		r, err := c.RoundTrip(m, 5*time.Second, look)
+		if err != nil || r.Status != 200 {
+			t.Fatal(r, err)
+		}
+		list, err := rtsp.ParseRTPInfo(r.Header.Get("Rtp-Info"))
+		if err != nil || len(list) != 1 {
+			t.Fatal(list, err)
+		}
+		c.SetDeadline(time.Now().Add(5 * time.Second))
+		for want := len(got) + n%4 + 1; len(got) < want || got[list[0].Seq] == 0; {
+			m, f, err := c.Next()
+			if err != nil {
+				t.Fatalf("seek %d: frame %d never came: %v", n, list[0].Seq, err)
+			}
+			look(m, f)
+		}
+		if ts := got[list[0].Seq]; ts != list[0].RTPTime {
+			t.Errorf("seek %d: frame %d has %d, told %d", n, list[0].Seq, ts, list[0].RTPTime)
+		}
+	}
+	c.Close()
+	b.rules()
+}
+
 func TestWhatAFrontTurnsDown(t *testing.T) {
 	b := newBench(t, 1, nil)
 	tcp := "RTP/AVP/TCP;unicast;interleaved=0-1"
--- a/internal/front/tls_test.go
+++ b/internal/front/tls_test.go
@@ -9,17 +9,22 @@
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
+	"fmt"
 	"math/big"
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
 
 	"rainhaven/internal/keys"
+	"rainhaven/internal/lab/box"
 	"rainhaven/internal/lab/player"
+	"rainhaven/internal/settings"
 )
 
 // pair makes a self-signed certificate with its serial number, and its key.
@@ -122,3 +127,66 @@
 		t.Error(err)
 	}
 }
+
+// Boxes are reached over TLS; one that is not trusted gets nothing, and counts as out of reach until it is.
+func TestBoxesOverTLS(t *testing.T) {
+	cert1, key1 := pair(t, 1, time.Now().Add(1000*time.Hour))
+	cert2, key2 := pair(t, 2, time.Now().Add(1000*time.Hour))
+	file := filepath.Join(t.TempDir(), "roots.pem")
+	write := func(b []byte) {
+		if err := os.WriteFile(file, b, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(cert1)
+	var using atomic.Pointer[tls.Certificate]
+	use := func(cert, key []byte) {
+		c, err := tls.X509KeyPair(cert, key)
+		if err != nil {
+			t.Fatal(err)
+		}
+		using.Store(&c)
+	}
+	use(cert1, key1)
+	b := newBench(t, 1, func(terms *settings.Terms, site *box.Site) {
+		terms.BoxTLS, terms.Figures.Probes = settings.Trust{Roots: file}, true
+		site.TLS = &tls.Config{GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return using.Load(), nil }}
+	})
+	playing, done := make(chan struct{}), make(chan error, 1)
+	w := b.want("clips")
+	w.Watch, w.Live = 1.6, once(playing)
+	go func() {
+		seen, err := player.Watch(context.Background(), w)
+		if err == nil && seen.Frames < 20 {
+			err = fmt.Errorf("%+v", seen)
+		}
+		done <- err
+	}()
+	select {
+	case <-playing:
+	case err := <-done:
+		t.Fatal(err)
+	}
+	use(cert2, key2)
+	for name, x := range map[string][]byte{"none": nil, "half written": append(slices.Clone(cert1), cert2[:len(cert2)/2]...)} {
+		write(x)
+		if took, say := b.roots.Look(time.Now()); took || say == "" {
+			t.Errorf("%s: taken, said %q", name, say)
+		}
+	}
+	if seen, _ := player.Watch(context.Background(), b.want("exam")); seen.Status != 503 || b.boxes[0].Count().Setups != 1 {
+		t.Errorf("a box that is not trusted: %+v, %d SETUPs", seen, b.boxes[0].Count().Setups)
+	}
+	write(append(slices.Clone(cert1), cert2...))
+	if took, say := b.roots.Look(time.Now()); !took {
+		t.Errorf("old and new together: %q", say)
+	}
+	b.eventually("the box serves again", func() bool {
+		seen, _ := player.Watch(context.Background(), b.want("clips"))
+		return seen.Status == 200
+	})
+	if err := <-done; err != nil {
+		t.Errorf("the session that played: %v", err)
+	}
+	b.rules()
+}
--- a/internal/front/viewer.go
+++ b/internal/front/viewer.go
@@ -42,9 +42,6 @@
 	closed bool
 }
 
-// mostPipelined requests of one connection may be without their responses.
-const mostPipelined = 16
-
 // slot keeps a response's place among a connection's.
 type slot struct {
 	req *rtsp.Message
@@ -82,7 +79,7 @@
 // take begins a viewer's connection.
 func (f *Front) take(c net.Conn) {
 	v := &viewer{f: f, conn: rtsp.NewConn(c, rtsp.Bounds{}), out: relay.NewOut(f.terms.Bounds.Queue),
-		room: make(chan struct{}, mostPipelined), sess: map[choice.SessID]*sess{}}
+		room: make(chan struct{}, limits.Pipelined), sess: map[choice.SessID]*sess{}}
 	f.work.Add(2)
 	go func() {
 		defer f.work.Done()
@@ -533,7 +530,7 @@
 				if t.n != max(p.Track, 0) {
 					continue
 				}
-				if seq, ts, ok := x.stream.Position(t.box); ok {
+				if seq, ts, ok := x.stream.Numbers(t.box, i.Seq, i.RTPTime); ok {
 					i.Seq, i.RTPTime = seq, ts // the stream goes on in the numbers that the viewer knows
 				}
 				i.URL = rtsp.Place{Host: x.place.Host, Group: x.place.Group, Title: x.place.Title, Track: t.n, Query: x.place.Query}.URL()
--- a/internal/lab/box/box.go
+++ b/internal/lab/box/box.go
@@ -4,6 +4,7 @@
 package box
 
 import (
+	"crypto/tls"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -32,15 +33,16 @@
 	ColdShare   float64
 	FallFactor  float64
 	FallTime    float64
-	ReportEvery float64 // seconds between refreshments of the load report
-	NoteEvery   float64 // seconds between load notes; 0 is none
-	SetupTime   float64 // seconds that a SETUP takes about
-	Vary        float64 // true rates lie so far above or below the ladder, as a share
-	FullAt      float64 // SETUPs are answered full while so much of the link is asked; 0 is never
-	FPS         int     // frames a second
-	Keep        float64 // seconds that a session is kept once its connection is gone
-	Mischief    float64 // share of requests that meet a random fault (mischief.go)
-	Thin        float64 // bytes sent over those of the rate: media is thinned to what one machine carries
+	ReportEvery float64     // seconds between refreshments of the load report
+	NoteEvery   float64     // seconds between load notes; 0 is none
+	SetupTime   float64     // seconds that a SETUP takes about
+	Vary        float64     // true rates lie so far above or below the ladder, as a share
+	FullAt      float64     // SETUPs are answered full while so much of the link is asked; 0 is never
+	FPS         int         // frames a second
+	Keep        float64     // seconds that a session is kept once its connection is gone
+	Mischief    float64     // share of requests that meet a random fault (mischief.go)
+	Thin        float64     // bytes sent over those of the rate: media is thinned to what one machine carries
+	TLS         *tls.Config // of the front's side; nil is plain
 	Now         func() float64
 	Witness     *witness.Witness // may be nil
 }
--- a/internal/lab/box/faults.go
+++ b/internal/lab/box/faults.go
@@ -1,6 +1,7 @@
 package box
 
 import (
+	"crypto/tls"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -55,6 +56,9 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.site.TLS != nil {
+		l = tls.NewListener(l, b.site.TLS)
+	}
 	b.Address, b.listener = l.Addr().String(), l
 	b.down, b.fallen, b.hung, b.held, b.slow, b.aged = false, false, false, false, 1, 1
 	b.cold, b.born, b.said = nil, 0, [2]float64{}
--- a/internal/lab/measure/measure.go
+++ b/internal/lab/measure/measure.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -28,21 +29,29 @@
 	"rainhaven/internal/rtsp"
 )
 
+// Build is a rainhaven program that runs as front, and whether viewers come to it over TLS.
+type Build struct {
+	Name, Program string
+	TLS           bool
+}
+
 // Options say what is measured.
 type Options struct {
-	Program  string // the rainhaven program that runs as front
-	Sessions []int  // playing sessions to measure under
-	Setups   int    // samples of set-ups, each way
-	Reps     int    // repetitions of a transfer, each way in turns
+	Builds   []Build // measured in turns
+	Sessions []int   // playing sessions to measure under
+	Setups   int     // samples of set-ups, each way
+	Reps     int     // repetitions of a transfer, each way in turns
 	Seconds  float64
 }
 
 // Row is what was measured under so many playing sessions.
 type Row struct {
+	Build                         string
 	Sessions                      int
 	DirectP50, DirectP99          float64 // ms from SETUP to its answer, straight at a box
 	FrontP50, FrontP99, FrontP999 float64 // the same through the front
 	HeapPerSession, RSSPerSession float64 // bytes of the front's
+	Allocations                   float64 // for each set-up from connection to TEARDOWN, media under way included
 	SettleMean                    float64 // microseconds to settle a batch of events, the module's decisions included
 	DirectMB, FrontMB, Ratio      float64 // transfer at full speed, MB a second, medians over repetitions
 	RatioLow, RatioHigh           float64
@@ -64,27 +73,40 @@
 
 // front is a front's process.
 type front struct {
-	cmd           *exec.Cmd
-	listen, admin string
-	dir           string
+	cmd        *exec.Cmd
+	way        // for viewers
+	admin, dir string
+}
+
+// way is how viewers come to something.
+type way struct {
+	address string
+	over    *tls.Config // nil is plain
 }
 
 // start runs a front before boxes.
-func start(ctx context.Context, program string, boxes []string) (*front, error) {
+func start(ctx context.Context, b Build, boxes []string) (*front, error) {
 	dir, err := os.MkdirTemp("", "rainhaven-measure")
 	if err != nil {
 		return nil, err
 	}
 	f := &front{dir: dir}
-	script := `front(name = "measured", listen = "127.0.0.1:0", admin = "127.0.0.1:0")` + groupsFor(len(boxes))
-	for i, b := range boxes {
-		script += fmt.Sprintf("box(id = %d, cell = %d, address = %q)\n", i+1, i, b)
+	more := ""
+	if b.TLS {
+		if f.over, err = selfSigned(dir); err != nil {
+			return nil, err
+		}
+		more = fmt.Sprintf(`, tls_listen = "127.0.0.1:0", cert = %q, key = %q`, filepath.Join(dir, "cert.pem"), filepath.Join(dir, "key.pem"))
+	}
+	script := `front(name = "measured", listen = "127.0.0.1:0", admin = "127.0.0.1:0"` + more + `)` + groupsFor(len(boxes))
+	for i, at := range boxes {
+		script += fmt.Sprintf("box(id = %d, cell = %d, address = %q)\n", i+1, i, at)
 	}
 	file := filepath.Join(dir, "front.star")
 	if err := os.WriteFile(file, []byte(script), 0o600); err != nil {
 		return nil, err
 	}
-	f.cmd = exec.CommandContext(ctx, program, "front", "--config", file, "--drain", "1s")
+	f.cmd = exec.CommandContext(ctx, b.Program, "front", "--config", file, "--drain", "1s")
 	f.cmd.Cancel = func() error { return f.cmd.Process.Signal(syscall.SIGTERM) }
 	f.cmd.WaitDelay = 10 * time.Second
 	log, err := f.cmd.StderrPipe()
@@ -96,9 +118,12 @@
 	}
 	lines := bufio.NewScanner(log)
 	for lines.Scan() {
-		var l struct{ Msg, Listen, Admin string }
+		var l struct{ Msg, Listen, TLS, Admin string }
 		if json.Unmarshal(lines.Bytes(), &l) == nil && l.Msg == "serving" {
-			f.listen, f.admin = l.Listen, l.Admin
+			f.address, f.admin = l.Listen, l.Admin
+			if b.TLS {
+				f.address = l.TLS
+			}
 			go io.Copy(io.Discard, log)
 			return f, nil
 		}
@@ -137,12 +162,22 @@
 	cseq    int
 }
 
-func connect(address string) (*viewer, error) {
-	n, err := net.DialTimeout("tcp", address, 2*time.Second)
+func (w way) connect() (*viewer, error) {
+	n, err := net.DialTimeout("tcp", w.address, 2*time.Second)
 	if err != nil {
 		return nil, err
 	}
-	return &viewer{c: rtsp.NewConn(n, rtsp.Bounds{}), url: "rtsp://" + address + "/clips/vents"}, nil
+	if w.over != nil {
+		t := tls.Client(n, w.over)
+		t.SetDeadline(time.Now().Add(10 * time.Second))
+		if err := t.Handshake(); err != nil {
+			n.Close()
+			return nil, err
+		}
+		t.SetDeadline(time.Time{})
+		n = t
+	}
+	return &viewer{c: rtsp.NewConn(n, rtsp.Bounds{}), url: "rtsp://" + w.address + "/clips/vents"}, nil
 }
 
 func (v *viewer) ask(method string, with ...string) error {
@@ -172,8 +207,8 @@
 }
 
 // latency is the time of one set-up on a fresh connection.
-func latency(address string) (time.Duration, error) {
-	v, err := connect(address)
+func (w way) latency() (time.Duration, error) {
+	v, err := w.connect()
 	if err != nil {
 		return 0, err
 	}
@@ -203,22 +238,24 @@
 	}
 	var rows []Row
 	for _, n := range o.Sessions {
-		row, err := under(ctx, o, n, addresses)
-		if err != nil {
-			return rows, fmt.Errorf("under %d sessions: %w", n, err)
-		}
-		rows = append(rows, row)
-		if tell != nil {
-			tell(row)
+		for _, b := range o.Builds {
+			row, err := under(ctx, o, b, n, addresses)
+			if err != nil {
+				return rows, fmt.Errorf("%s under %d sessions: %w", b.Name, n, err)
+			}
+			rows = append(rows, row)
+			if tell != nil {
+				tell(row)
+			}
 		}
 	}
 	return rows, nil
 }
 
 // under measures with n sessions playing.
-func under(ctx context.Context, o Options, n int, boxes []string) (Row, error) {
-	row := Row{Sessions: n}
-	f, err := start(ctx, o.Program, boxes)
+func under(ctx context.Context, o Options, b Build, n int, boxes []string) (Row, error) {
+	row := Row{Build: b.Name, Sessions: n}
+	f, err := start(ctx, b, boxes)
 	if err != nil {
 		return row, err
 	}
@@ -239,7 +276,7 @@
 		readers.Wait()
 	}()
 	for range n {
-		v, err := connect(f.listen)
+		v, err := f.connect()
 		if err != nil {
 			return row, err
 		}
@@ -267,14 +304,15 @@
 	}
 	count0, _ := f.metric("rainhaven_settle_seconds_count")
 	sum0, _ := f.metric("rainhaven_settle_seconds_sum")
+	mallocs0, _ := f.metric("go_memstats_mallocs_total")
 	direct, through := hdrhistogram.New(1, 10_000_000, 3), hdrhistogram.New(1, 10_000_000, 3)
 	from, was := time.Now(), frames.Load()
 	for i := range o.Setups {
 		for _, w := range []struct {
-			address string
-			h       *hdrhistogram.Histogram
-		}{{boxes[i%len(boxes)], direct}, {f.listen, through}} {
-			d, err := latency(w.address)
+			way
+			h *hdrhistogram.Histogram
+		}{{way{boxes[i%len(boxes)], nil}, direct}, {f.way, through}} {
+			d, err := w.latency()
 			if err != nil {
 				return row, err
 			}
@@ -293,33 +331,35 @@
 	if count > count0 {
 		row.SettleMean = (sum - sum0) / (count - count0) * 1e6
 	}
+	mallocs, _ := f.metric("go_memstats_mallocs_total")
+	row.Allocations = (mallocs - mallocs0) / float64(o.Setups)
 	heap, _ := f.metric("go_memstats_heap_inuse_bytes")
 	stack, _ := f.metric("go_memstats_stack_inuse_bytes")
 	rss, _ := f.metric("process_resident_memory_bytes")
 	row.HeapPerSession = (heap + stack - heap0 - stack0) / float64(n)
 	row.RSSPerSession = (rss - rss0) / float64(n)
-	return row, o.transfers(ctx, &row, min(n, 100))
+	return row, o.transfers(ctx, &row, b, min(n, 100))
 }
 
 // transfers compares what comes through at full speed, on so many connections at once.
-func (o Options) transfers(ctx context.Context, row *Row, conns int) error {
+func (o Options) transfers(ctx context.Context, row *Row, build Build, conns int) error {
 	src, err := listenFlat()
 	if err != nil {
 		return err
 	}
 	defer src.close()
-	f, err := start(ctx, o.Program, []string{src.address})
+	f, err := start(ctx, build, []string{src.address})
 	if err != nil {
 		return err
 	}
 	defer f.stop()
 	var d, t, ratios []float64
 	for range o.Reps {
-		a, err := transfer(ctx, src.address, conns, o.Seconds)
+		a, err := transfer(ctx, way{src.address, nil}, conns, o.Seconds)
 		if err != nil {
 			return fmt.Errorf("straight: %w", err)
 		}
-		b, err := transfer(ctx, f.listen, conns, o.Seconds)
+		b, err := transfer(ctx, f.way, conns, o.Seconds)
 		if err != nil {
 			return fmt.Errorf("through the front: %w", err)
 		}
@@ -337,7 +377,7 @@
 }
 
 // transfer is MB a second that come to so many viewers at once.
-func transfer(ctx context.Context, address string, conns int, seconds float64) (float64, error) {
+func transfer(ctx context.Context, w way, conns int, seconds float64) (float64, error) {
 	var list []*viewer
 	defer func() {
 		for _, v := range list {
@@ -345,7 +385,7 @@
 		}
 	}()
 	for range conns {
-		v, err := connect(address)
+		v, err := w.connect()
 		if err != nil {
 			return 0, err
 		}
@@ -407,11 +447,11 @@
 
 // Write prints rows as a table.
 func Write(w io.Writer, rows []Row) {
-	fmt.Fprintf(w, "%8s %10s %10s %10s %10s %11s %10s %9s %9s %9s %8s %17s\n", "playing", "direct p50", "direct p99", "front p50", "front p99",
-		"front p99.9", "settle", "heap/sess", "rss/sess", "direct", "front", "front/direct")
+	fmt.Fprintf(w, "%-10s %7s %10s %10s %9s %9s %11s %9s %7s %9s %9s %8s %8s %17s\n", "build", "playing", "direct p50", "direct p99", "front p50",
+		"front p99", "front p99.9", "allocs", "settle", "heap/sess", "rss/sess", "direct", "front", "front/direct")
 	for _, r := range rows {
-		fmt.Fprintf(w, "%8d %8.2fms %8.2fms %8.2fms %8.2fms %9.2fms %8.1fus %7.1fkB %7.1fkB %6.0fMB/s %4.0fMB/s %5.2f (%.2f-%.2f)\n", r.Sessions, r.DirectP50,
-			r.DirectP99, r.FrontP50, r.FrontP99, r.FrontP999, r.SettleMean, r.HeapPerSession/1024, r.RSSPerSession/1024, r.DirectMB, r.FrontMB,
-			r.Ratio, r.RatioLow, r.RatioHigh)
+		fmt.Fprintf(w, "%-10s %7d %8.2fms %8.2fms %7.2fms %7.2fms %9.2fms %9.0f %5.1fus %7.1fkB %7.1fkB %4.0fMB/s %4.0fMB/s %5.2f (%.2f-%.2f)\n", r.Build,
+			r.Sessions, r.DirectP50, r.DirectP99, r.FrontP50, r.FrontP99, r.FrontP999, r.Allocations, r.SettleMean, r.HeapPerSession/1024,
+			r.RSSPerSession/1024, r.DirectMB, r.FrontMB, r.Ratio, r.RatioLow, r.RatioHigh)
 	}
 }
--- a/internal/lab/measure/measure_test.go
+++ b/internal/lab/measure/measure_test.go
@@ -37,7 +37,7 @@
 		b.Run(c.name, func(b *testing.B) {
 			sum := 0.0
 			for b.Loop() {
-				mb, err := transfer(context.Background(), c.address, 1, 0.5)
+				mb, err := transfer(context.Background(), way{c.address, nil}, 1, 0.5)
 				if err != nil {
 					b.Fatal(err)
 				}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -274,15 +274,19 @@
 	return time.Duration(a), float64(s.media.Load()) / 1e6, a != 0
 }
 
-// Position gives a track's next sequence number and its last timestamp, for RTP-Info; ok is false before a frame.
-func (s *Stream) Position(low byte) (seq uint16, ts uint32, ok bool) {
+// Numbers makes the numbers that a box names for a track's next frame (RTP-Info) those that the viewer gets it under,
+// whether that frame has come already or not; ok is false where the stream has no such track.
+func (s *Stream) Numbers(low byte, seq uint16, ts uint32) (uint16, uint32, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.tracks[low]
-	if t == nil || !t.known {
+	if t == nil {
 		return 0, 0, false
 	}
-	return t.lastSeq + 1, t.lastTS + t.gap, true
+	if t.known && t.leaps(seq, ts) {
+		return t.lastSeq + 1, t.lastTS + t.gap, true
+	}
+	return seq + t.seq, ts + t.ts, true
 }
 
 // Frame takes a frame from the box, received at now. The payload is not kept. Out().Flush has it written.
@@ -330,14 +334,19 @@
 	return false
 }
 
+// leaps tells whether a source's numbers don't follow on its last ones.
+func (t *Track) leaps(seq uint16, ts uint32) bool {
+	d, dt := int16(seq+t.seq-t.lastSeq), int32(ts+t.ts-t.lastTS)
+	return d < -1000 || d > 1000 || dt < -int32(t.Clock) || dt > 10*int32(t.Clock)
+}
+
 // rewrite makes a source's numbers the viewer's. A new source, or a leap within one, goes on where the last left off.
 func (t *Track) rewrite(seq uint16, ts, src uint32) (uint16, uint32) {
 	switch {
 	case !t.known:
 		t.known, t.from, t.ssrc = true, src, src
 		t.lastSeq, t.lastTS, t.first = seq-1, ts, int64(ts)
-	case src != t.from || int16(seq+t.seq-t.lastSeq) < -1000 || int16(seq+t.seq-t.lastSeq) > 1000 ||
-		int32(ts+t.ts-t.lastTS) < -int32(t.Clock) || int32(ts+t.ts-t.lastTS) > 10*int32(t.Clock):
+	case src != t.from || t.leaps(seq, ts):
 		t.from = src
 		t.seq, t.ts = t.lastSeq+1-seq, t.lastTS+t.gap-ts
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -85,6 +85,33 @@
 	}
 }
 
+// The box's numbers for its next frame become the viewer's, whether that frame has overtaken the box's word or not.
+func TestNumbersOfTheNextFrame(t *testing.T) {
+	s := NewStream(NewOut(1<<20), nil)
+	s.Add(0, &Track{RTP: 0, RTCP: 1, Clock: 90000})
+	s.Open()
+	look := func(what string, seq uint16, ts uint32, wantSeq uint16, wantTS uint32) {
+		t.Helper()
+		if a, b, ok := s.Numbers(0, seq, ts); !ok || a != wantSeq || b != wantTS {
+			t.Errorf("%s: %d %d, want %d %d", what, a, b, wantSeq, wantTS)
+		}
+	}
+	look("before any", 7, 900, 7, 900)
+	for i := range uint32(4) {
+		s.Frame(1, 0, packet(uint16(10+i), 1000+3600*i, 5))
+	}
+	look("it goes on", 14, 15400, 14, 15400)
+	look("a seek", 14, 9_000_000, 14, 15400)
+	s.Frame(2, 0, packet(14, 9_000_000, 5))
+	look("a seek whose first frame was quicker", 14, 9_000_000, 14, 15400)
+	s.Frame(2, 0, packet(15, 9_003_600, 5))
+	look("whose first two were", 14, 9_000_000, 14, 15400)
+	look("back", 16, 100, 16, 22600)
+	if _, _, ok := s.Numbers(2, 1, 1); ok {
+		t.Error("numbers of a track that was never set up")
+	}
+}
+
 func TestNotesLeaveTheStream(t *testing.T) {
 	o, in, _ := pair(t, 1<<20)
 	var link, uplink float64
--- a/internal/settings/read.go
+++ b/internal/settings/read.go
@@ -92,6 +92,9 @@
 	{Name: "user", Key: "name", Doc: "one who may enter; without any, everyone may", Fields: []Field{
 		{Name: "name", Kind: Text, Needed: true, Doc: "the name"},
 		{Name: "password", Kind: Text, Needed: true, Doc: "the password; keep the file to yourself"}}},
+	{Name: "box_tls", Once: true, Doc: "connections to boxes go over TLS", Fields: []Field{
+		{Name: "roots", Kind: Text, Needed: true, Doc: "file of the certificates that boxes are trusted by"},
+		{Name: "name", Kind: Text, Doc: "what their certificates are for; the host of each address where empty"}}},
 	{Name: "box", Key: "id", Needed: true, Doc: "a box", Fields: []Field{
 		{Name: "id", Kind: Whole, Needed: true, Max: 1<<32 - 1, Doc: "its number"},
 		{Name: "address", Kind: Text, Needed: true, Doc: "host:port"},
@@ -143,6 +146,9 @@
 	if t.TLS.Listen != "" && (t.TLS.Cert == "" || t.TLS.Key == "") {
 		s.Wrong(e.Line, "front: tls_listen needs cert and key, two files")
 	}
+	if e, ok := s.One("box_tls"); ok {
+		t.BoxTLS = Trust{e.Text("roots"), e.Text("name")}
+	}
 	for _, field := range []string{"listen", "admin", "tls_listen", "redirect"} {
 		if a := e.Text(field); a != "" {
 			address(s, e, "front", field, a)
--- a/internal/settings/terms.go
+++ b/internal/settings/terms.go
@@ -13,6 +13,7 @@
 	Name   string // of the instance: in logs, metrics and towards boxes
 	Listen string // address for viewers
 	TLS    Pair   // for viewers that come over TLS; an empty Listen is none
+	BoxTLS Trust  // of boxes, which are then reached over TLS; empty Roots is none
 	Admin  string // address for health and metrics; empty is none
 
 	Figures  choice.StartFigures // Seed 0 is drawn at start
@@ -32,6 +33,9 @@
 // Pair is an address for TLS and the files of its certificate and key.
 type Pair struct{ Listen, Cert, Key string }
 
+// Trust is a file of certificates, and the name that one must be for.
+type Trust struct{ Roots, Name string }
+
 // Group is what a front needs of a service group beside the module's terms.
 type Group struct {
 	Name         string
