Take new settings in service: the module is made anew with what the last one learned

Change: choice/renewal says what each part of the settings takes and refuses the whole where one part needs a restart; choice/session Renew hands sessions, seats and what rules count to a new module; Front.Renew carries it out. The module gives and takes a Memory (state.go), and is otherwise untouched. Reloads joined the search of every order and the random runs.

--- a/choice/describe/describe.go
+++ b/choice/describe/describe.go
@@ -57,6 +57,9 @@
 // New makes a cache for boxes in so many cells.
 func New(cells int) *Cache { return &Cache{cells: max(cells, 1), titles: map[string]*entry{}} }
 
+// Cells changes how many cells there are.
+func (c *Cache) Cells(n int) { c.cells = max(n, 1) }
+
 // Boxes takes the list, whole or changed entries only.
 func (c *Cache) Boxes(whole bool, list []choice.Listing) {
 	if whole {
--- a/choice/pool/pool.go
+++ b/choice/pool/pool.go
@@ -40,6 +40,9 @@
 // New makes a keeper that allows so many connections to a box.
 func New(perBox int) *Keeper { return &Keeper{max(perBox, 1), map[choice.ServerID]*box{}} }
 
+// PerBox changes how many connections to a box are allowed; those open past it go on.
+func (k *Keeper) PerBox(n int) { k.perBox = max(n, 1) }
+
 // Take gives an idle connection to a box, the one used last, if there is one.
 func (k *Keeper) Take(id choice.ServerID) (Conn, bool) {
 	b := k.boxes[id]
--- /dev/null
+++ b/choice/session/renew.go
@@ -0,0 +1,97 @@
+package session
+
+import (
+	"slices"
+
+	"rainhaven/choice"
+)
+
+// Terms are a table's new ones.
+type Terms struct {
+	Figures choice.StartFigures
+	Bounds  Bounds
+	Groups  []int // by a service group's number so far: its new one. None may be missing
+}
+
+// Renew goes on under new terms. The module is made anew and told what the last one had learned, keep having taken out
+// what holds no longer; list is the whole list of boxes. What becomes of sessions:
+//
+//	waits for its placement    asked anew, within its old setup timeout
+//	a SETUP is out             stays out; the new module holds its seat and its share of the links. Where it fails no
+//	                           further one follows: the answer is busy, or torn down where a paid one may have run
+//	set up, plays, pauses      handed to the new module at its rung, which new floors and tops may move at once
+//	its TEARDOWN is out        the same, until it is answered
+//	answered otherwise         nothing more is asked
+//
+// No SETUP leaves because of it, so that no number of reloads touches rules 2 and 6.
+func (t *Table) Renew(terms Terms, list []choice.Listing, keep func(choice.Memory) choice.Memory) {
+	t.mod.Settle() // what was decided stands
+	m := keep(t.mod.Memory())
+	lives := t.inOrder()
+	again := 0
+	for _, l := range lives {
+		l.group = terms.Groups[l.group]
+		if l.req.Group = l.group; l.waits() {
+			again++
+		}
+	}
+	// Those asked anew count as taken again; their first count goes, so that the ration grows by nothing.
+	m.Taken = m.Taken[:max(len(m.Taken)-again, 0)]
+	t.bounds = terms.Bounds
+	t.module(terms.Figures)
+	t.mod.Directory(true, list)
+	t.mod.Recall(m)
+	// Boxes that have left the list are told of as long as it takes to hand their sessions over: those hold seats.
+	t.Directory(true, list)
+	var left []choice.Listing
+	for id, e := range t.list {
+		if e.State == choice.Gone {
+			left = append(left, choice.Listing{ID: id, Zone: e.Zone, Kind: e.Kind, Cell: e.Cell, State: choice.Draining, Born: e.Born})
+		}
+	}
+	slices.SortFunc(left, func(a, b choice.Listing) int { return int(int64(a.ID) - int64(b.ID)) })
+	t.mod.Directory(false, left)
+	for _, l := range lives {
+		t.renew(l)
+	}
+	for i := range left {
+		left[i].State = choice.Gone
+	}
+	t.mod.Directory(false, left)
+}
+
+// Bound takes new bounds alone: they hold for what begins from now on.
+func (t *Table) Bound(b Bounds) { t.bounds = b }
+
+// waits tells whether a request waits within the module and no SETUP was ever ordered for it.
+func (l *life) waits() bool { return l.phase == idle && l.toldModule && l.verdict == 0 && l.try == 0 }
+
+// renew tells the new module of one session.
+func (t *Table) renew(l *life) {
+	t.mark(l)
+	switch {
+	case l.waits():
+		t.mod.Ask(l.req)
+		return
+	case !l.toldModule || l.verdict == Busy || l.verdict == TornDown || l.phase == gone:
+		return
+	case l.phase == idle || l.wantSetup && t.list[l.box].State != choice.Ready:
+		// Its box left the list with this very reload, before the SETUP had left. Earlier ones of a paid group's
+		// provably never ran, or it would have been torn down.
+		l.phase, l.wantSetup, l.toldModule = idle, false, false
+		l.verdict, l.comeBack = Busy, 1
+		return
+	case l.phase == connecting || l.phase == asked:
+		// As no other follows, this SETUP may take all the time there is.
+		l.alone, l.until = true, max(l.until, l.giveUp-margin)
+	}
+	t.mod.Handed(l.req, l.box)
+	rung := l.rung
+	if l.phase == connecting || l.phase == asked {
+		rung = l.wantRung
+	}
+	// A step that is out stays out; the one to the new bounds follows it.
+	g := t.groups[l.group]
+	l.wantRung = max(min(rung, g.Top, t.top), g.Floor)
+	t.mod.InForce(l.id, l.wantRung)
+}
--- a/choice/session/search_test.go
+++ b/choice/session/search_test.go
@@ -159,6 +159,13 @@
 	}},
 	{"a second", func(w *world) bool { w.pass(1); return true }},
 	{"drains", listed(choice.Draining)}, {"is gone", listed(choice.Gone)}, {"is ready", listed(choice.Ready)},
+	{"reload", func(w *world) bool {
+		if w.reloads == 2 {
+			return false
+		}
+		w.reload()
+		return true
+	}},
 	{"front stops", func(w *world) bool {
 		if w.t.stop {
 			return false
@@ -180,7 +187,7 @@
 func (w *world) print() string {
 	var b strings.Builder
 	if l := w.t.lives[one]; l != nil {
-		fmt.Fprint(&b, l.phase, l.owed, l.verdict, l.viewer, l.try, l.box, l.rung, l.wantRung, l.sentRung, l.op.op, l.wantClose, l.toldModule,
+		fmt.Fprint(&b, l.phase, l.owed, l.verdict, l.viewer, l.try, l.box, l.rung, l.wantRung, l.sentRung, l.op.op, l.wantClose, l.toldModule, l.alone,
 			len(l.queue), int(l.until*1000-w.now*1000), int(l.giveUp*100-w.now*100))
 		for _, q := range l.queue {
 			fmt.Fprint(&b, q.op)
@@ -190,7 +197,7 @@
 	for _, n := range w.tries(func(*atBox) bool { return true }) {
 		fmt.Fprint(&b, "|", n, *v.tries[n])
 	}
-	fmt.Fprint(&b, "|", v.gone, v.answers, len(v.asks), v.ended, v.mayRan, len(w.ops), len(w.probes), w.t.stop, int(w.now*50))
+	fmt.Fprint(&b, "|", v.gone, v.answers, len(v.asks), v.ended, v.mayRan, len(w.ops), len(w.probes), w.t.stop, w.reloads, int(w.now*50))
 	for id := choice.ServerID(10); id < 14; id++ {
 		fmt.Fprint(&b, w.state[id])
 	}
--- a/choice/session/session.go
+++ b/choice/session/session.go
@@ -184,6 +184,8 @@
 	next        float64 // when it wants to be looked at
 	toldModule  bool    // the module knows of it still
 	answerGiven bool
+	req         choice.Request // as the module knows it
+	alone       bool           // its terms changed while a SETUP was out: none follows that one
 }
 
 type reply struct {
@@ -202,27 +204,31 @@
 	out    Orders
 	bounds Bounds
 	now    float64
-	lives  map[choice.SessID]*life              // emptied as sessions end
-	due    heapOf                               // the same, by when they want to be looked at
-	touch  []*life                              // emptied by Settle
-	strays []stray                              // requests for sessions that are not there; emptied by Settle
-	list   map[choice.ServerID]choice.Lifecycle // the boxes told of; gone ones leave
-	wake   float64                              // when the module wants Due; 0 is none
+	lives  map[choice.SessID]*life            // emptied as sessions end
+	due    heapOf                             // the same, by when they want to be looked at
+	touch  []*life                            // emptied by Settle
+	strays []stray                            // requests for sessions that are not there; emptied by Settle
+	list   map[choice.ServerID]choice.Listing // the boxes told of; gone ones leave with their last session at a new list
+	wake   float64                            // when the module wants Due; 0 is none
 	stop   bool
-	floors []int // by service group: the rung in force until the module names one
+	groups []choice.ServiceGroup
+	top    int // of the ladder
 }
 
 // New makes a table and its module.
 func New(now float64, fig choice.StartFigures, bounds Bounds, out Orders) *Table {
 	t := &Table{out: out, bounds: bounds, now: now, lives: map[choice.SessID]*life{},
-		list: map[choice.ServerID]choice.Lifecycle{}}
-	for _, g := range fig.Groups {
-		t.floors = append(t.floors, g.Floor)
-	}
-	t.mod = choice.New(now, fig, acts{t})
+		list: map[choice.ServerID]choice.Listing{}}
+	t.module(fig)
 	return t
 }
 
+// module makes the table a module of its own.
+func (t *Table) module(fig choice.StartFigures) {
+	t.groups, t.top, t.wake = fig.Groups, len(fig.Ladder)-1, 0
+	t.mod = choice.New(t.now, fig, acts{t})
+}
+
 // At sets the clock; it comes before each batch of events.
 func (t *Table) At(now float64) {
 	t.now = max(t.now, now)
@@ -241,19 +247,29 @@
 
 // Directory takes the list of boxes, whole or changed entries only.
 func (t *Table) Directory(whole bool, list []choice.Listing) {
+	held := map[choice.ServerID]bool{}
+	for _, l := range t.lives {
+		held[l.box] = true
+	}
 	if whole {
-		clear(t.list)
+		for id, e := range t.list {
+			e.State = choice.Gone
+			t.list[id] = e
+		}
 	}
 	for _, e := range list {
-		if t.list[e.ID] = e.State; e.State == choice.Gone {
-			delete(t.list, e.ID)
+		t.list[e.ID] = e
+	}
+	for id, e := range t.list {
+		if e.State == choice.Gone && !held[id] {
+			delete(t.list, id)
 		}
 	}
 	t.mod.Directory(whole, list)
 	// Against a SETUP that was ordered before the word came and would reach the box after it: one not yet sent is
 	// taken back and placed anew. It covers addresses that changed too. Harm: none, it provably never ran.
 	for _, l := range t.inOrder() {
-		if l.phase == connecting && !l.wantSetup && t.list[l.box] != choice.Ready {
+		if l.phase == connecting && !l.wantSetup && t.list[l.box].State != choice.Ready {
 			l.withdraw = append(l.withdraw, l.try)
 			t.setupOver(l, choice.Unsent, choice.Report{Link: -1, Uplink: -1})
 		}
@@ -270,13 +286,18 @@
 	return list
 }
 
+func (r Ask) request(id choice.SessID) choice.Request {
+	return choice.Request{ID: id, Group: r.Group, Title: r.Title, StartCell: r.StartCell, Span: r.Span, BestRung: r.BestRung,
+		Length: r.Length}
+}
+
 // Ask takes a viewer's request for a session. Its id must be new.
 func (t *Table) Ask(id choice.SessID, r Ask) {
 	if t.lives[id] != nil {
 		return
 	}
 	l := &life{id: id, group: r.Group, viewer: true, owed: true, heard: t.now, sentRung: -1, at: -1,
-		rung: t.floors[r.Group], wantRung: t.floors[r.Group],
+		rung: t.groups[r.Group].Floor, wantRung: t.groups[r.Group].Floor,
 		giveUp: t.now + t.bounds.SetupTimeout[r.Group]}
 	t.lives[id] = l
 	t.mark(l)
@@ -286,9 +307,9 @@
 		l.verdict, l.comeBack = Busy, 1
 		return
 	}
-	l.toldModule = true
-	t.mod.Ask(choice.Request{ID: id, Group: r.Group, Title: r.Title, StartCell: r.StartCell, Span: r.Span,
-		BestRung: r.BestRung, SetupTimeout: l.giveUp - margin, Length: r.Length})
+	l.toldModule, l.req = true, r.request(id)
+	l.req.SetupTimeout = l.giveUp - margin
+	t.mod.Ask(l.req)
 }
 
 // Adopt takes over a session that plays already at a box.
@@ -298,11 +319,10 @@
 	}
 	l := &life{id: id, group: r.Group, viewer: true, heard: t.now, sentRung: -1, at: -1, toldModule: true,
 		try: 1, box: box, phase: playing, rung: rung, wantRung: rung, keepAt: t.now + t.bounds.KeepAlive,
-		verdict: Served, answerGiven: true}
+		verdict: Served, answerGiven: true, req: r.request(id)}
 	t.lives[id] = l
 	t.mark(l)
-	t.mod.Handed(choice.Request{ID: id, Group: r.Group, Title: r.Title, StartCell: r.StartCell, Span: r.Span,
-		BestRung: r.BestRung, Length: r.Length}, box)
+	t.mod.Handed(l.req, box)
 	t.mod.InForce(id, rung)
 }
 
@@ -394,6 +414,14 @@
 func (t *Table) setupOver(l *life, o choice.Outcome, rep choice.Report) {
 	t.mark(l)
 	l.phase, l.wantSetup = idle, false
+	if l.alone {
+		ran := o != choice.Full && o != choice.NoConnection && o != choice.Unsent
+		if l.verdict, l.comeBack = Busy, 1; ran && t.groups[l.group].Paid {
+			l.verdict = TornDown
+		}
+		t.over(l, o, rep)
+		return
+	}
 	if l.toldModule {
 		t.mod.Ended(l.id, l.box, o, false, rep)
 	}
--- a/choice/session/session_test.go
+++ b/choice/session/session_test.go
@@ -35,6 +35,7 @@
 	ended   bool
 	paid    bool
 	mayRan  bool
+	title   string
 }
 
 // world takes the orders and breaks the test when one breaks a rule.
@@ -48,19 +49,19 @@
 	probes  []choice.ServerID
 	state   map[choice.ServerID]choice.Lifecycle
 	orders  int
+	seats   int // of the paid group's
+	reloads int
 }
 
 func newWorld(tb rapid.TB) *world {
 	w := &world{tb: tb, now: 100, viewers: map[choice.SessID]*viewer{}, state: map[choice.ServerID]choice.Lifecycle{}}
 	fig, bounds := figures()
+	w.seats = fig.Groups[0].Seats
 	w.t = New(w.now, fig, bounds, w)
-	var list []choice.Listing
-	for i := range 4 {
-		id := choice.ServerID(10 + i)
-		w.state[id] = choice.Ready
-		list = append(list, choice.Listing{ID: id, Cell: i, State: choice.Ready, Heft: 1})
+	for _, e := range listed4() {
+		w.state[e.ID] = choice.Ready
 	}
-	w.do(func() { w.t.Directory(true, list) })
+	w.do(func() { w.t.Directory(true, listed4()) })
 	return w
 }
 
@@ -88,6 +89,17 @@
 	if len(v.answers) > 0 || v.gone {
 		w.tb.Fatalf("%s: a SETUP after its end", id)
 	}
+	taken := 1
+	for _, o := range w.viewers {
+		for _, a := range o.tries {
+			if o.paid && o.title == v.title && (a.out || a.held) {
+				taken++
+			}
+		}
+	}
+	if v.paid && taken > w.seats {
+		w.tb.Fatalf("%s: %d of %d seats taken", id, taken, w.seats)
+	}
 	if w.state[box] != choice.Ready {
 		w.tb.Fatalf("%s: a SETUP to box %d, which is %v", id, box, w.state[box])
 	}
@@ -149,12 +161,36 @@
 func (w *world) ask(group int, title string) choice.SessID {
 	id := choice.SessID(fmt.Sprintf("s%03d", len(w.order)))
 	w.order = append(w.order, id)
-	v := &viewer{asked: w.now, giveUp: w.now + w.t.bounds.SetupTimeout[group], paid: group == 0, asks: map[int]bool{}, tries: map[int]*atBox{}}
+	v := &viewer{asked: w.now, giveUp: w.now + w.t.bounds.SetupTimeout[group], paid: group == 0, title: title, asks: map[int]bool{}, tries: map[int]*atBox{}}
 	w.viewers[id] = v
 	w.do(func() { w.t.Ask(id, Ask{Group: group, Title: title, Span: 4, BestRung: 3}) })
 	return id
 }
 
+// reload renews the terms: seats, floors and waits change with each.
+func (w *world) reload() {
+	w.reloads++
+	fig, bounds := figures()
+	if w.reloads%2 == 1 {
+		fig.Groups[0].Seats, fig.Groups[1].Floor, fig.MostSetups, bounds.SetupTimeout = 3, 1, 2, []float64{2, 4}
+	}
+	w.seats = fig.Groups[0].Seats
+	var list []choice.Listing
+	for i := range 4 {
+		if s := w.state[choice.ServerID(10+i)]; s != choice.Gone {
+			list = append(list, choice.Listing{ID: choice.ServerID(10 + i), Cell: i, State: s, Heft: 1})
+		}
+	}
+	w.do(func() {
+		w.t.Renew(Terms{fig, bounds, []int{0, 1}}, list, func(m choice.Memory) choice.Memory { return m })
+	})
+	for _, l := range w.t.lives {
+		if floor := fig.Groups[l.group].Floor; l.phase >= ready && l.phase <= paused && l.wantRung < floor {
+			w.tb.Fatalf("%s: wants rung %d under the floor", l.id, l.wantRung)
+		}
+	}
+}
+
 func (w *world) request(id choice.SessID, op Op) {
 	v := w.viewers[id]
 	if v.gone {
@@ -387,6 +423,83 @@
 	w.rest()
 }
 
+// Requests, further SETUPs and seats of before a reload count after it.
+func TestReloadKeepsWhatRulesCount(t *testing.T) {
+	w := newWorld(t)
+	fig, bounds := figures()
+	fig.SpareSetups, fig.SetupShare, fig.Probes = 2, 0, false
+	renew := func() {
+		w.do(func() {
+			w.t.Renew(Terms{fig, bounds, []int{0, 1}}, listed4(), func(m choice.Memory) choice.Memory { return m })
+		})
+	}
+	renew()
+	further := 0
+	for range 6 {
+		id := w.ask(1, "vents")
+		for try := 1; w.viewers[id].tries[try] != nil; try++ {
+			w.box(id, try, 453, true)
+		}
+		further += len(w.viewers[id].tries) - 1
+		renew()
+		w.now += 1.1 // boxes that were full may be asked again
+	}
+	if further != 2 {
+		t.Errorf("%d further SETUPs, the ration is 2", further)
+	}
+	// A SETUP that is out at a reload is the last of its request.
+	for group, verdicts := range map[int]map[int]Verdict{0: {453: Busy, 500: TornDown, 200: Served}, 1: {453: Busy, 500: Busy, 200: Served}} {
+		for status, want := range verdicts {
+			w.now += 20
+			id := w.ask(group, "vents")
+			w.do(func() { w.t.SetupSent(id, 1) })
+			renew()
+			w.box(id, 1, status, true)
+			if v := w.viewers[id]; len(v.answers) != 1 || v.answers[0] != want || len(v.tries) != 1 {
+				t.Errorf("group %d, %d: answers %v after %d SETUPs", group, status, v.answers, len(v.tries))
+			}
+		}
+	}
+	// Seats of SETUPs out are taken still; what a box said just before the reload is decided by the old terms.
+	w.now += 20
+	var ids []choice.SessID
+	for range fig.Groups[0].Seats {
+		id := w.ask(0, "exam")
+		w.do(func() { w.t.SetupSent(id, 1) })
+		ids = append(ids, id)
+	}
+	renew()
+	if v := w.viewers[w.ask(0, "exam")]; len(v.answers) != 1 || v.answers[0] != Busy {
+		t.Errorf("a seat too many: %v", v.answers)
+	}
+	for _, id := range ids {
+		w.box(id, 1, 453, true)
+	}
+	for status, want := range map[int]Verdict{500: TornDown, 453: 0} {
+		w.now += 20
+		id := w.ask(0, "exam")
+		v := w.viewers[id]
+		a := v.tries[1]
+		w.do(func() {
+			w.t.SetupSent(id, 1)
+			a.out, v.mayRan = false, status == 500
+			w.t.BoxAnswered(id, 1, status, choice.Report{Link: -1, Uplink: -1})
+			w.t.Renew(Terms{fig, bounds, []int{0, 1}}, listed4(), func(m choice.Memory) choice.Memory { return m })
+		})
+		if got := append(v.answers, 0); got[0] != want {
+			t.Errorf("%d and a reload at once: %v after %d SETUPs", status, v.answers, len(v.tries))
+		}
+	}
+	w.rest()
+}
+
+func listed4() (list []choice.Listing) {
+	for i := range 4 {
+		list = append(list, choice.Listing{ID: choice.ServerID(10 + i), Cell: i, State: choice.Ready, Heft: 1})
+	}
+	return list
+}
+
 // Everything that viewers, boxes, clocks and lists may do in any order: one answer each and in time, never two SETUPs
 // out, no paid one twice, nothing left at a box or in the table.
 func TestAnyOrder(t *testing.T) {
@@ -464,6 +577,7 @@
 				w.state[box] = s
 				w.do(func() { w.t.Directory(false, []choice.Listing{{ID: box, Cell: int(box) - 10, State: s, Heft: 1}}) })
 			},
+			"reload":    func(*rapid.T) { w.reload() },
 			"time":      func(t *rapid.T) { w.pass(rapid.Float64Range(0, 1.5).Draw(t, "seconds")) },
 			"long time": func(t *rapid.T) { w.pass(rapid.Float64Range(1, 70).Draw(t, "seconds")) },
 			"": func(t *rapid.T) {
--- a/choice/state.go
+++ b/choice/state.go
@@ -119,3 +119,85 @@
 	}
 	s.holder = nil
 }
+
+// Memory is what a front has learned and must know again under new terms or after a restart. Instants are At's.
+type Memory struct {
+	Taken, Further []float64 // requests and further SETUPs within the ration's window
+	Servers        []Remembered
+	Uplinks        []Reading  // by rack
+	Usual          [2]float64 // mean load of links and of uplinks; 0 is none yet
+	UsualAt        float64    // top rates of all own sessions meanwhile
+	Settled        float64    // when its own sessions had come back
+}
+
+// Remembered is what was learned of one server.
+type Remembered struct {
+	ID         ServerID
+	Born       float64 // counts as cold from here; 0 is long ago
+	Slot, Used float64 // the slot it last had a SETUP in while cold, and how many; below 0 is not known
+	Aside      bool
+	Full       float64 // full until
+	Gap, Dev   float64 // between signs of life: mean and mean deviation in seconds; 0 is not known
+	Heard      float64 // last sign of life
+	Link       Reading
+}
+
+// Reading is what was learned of one link. Rates are kB a second.
+type Reading struct {
+	Told, Size   float64 // capacity by the terms; as own sessions show it
+	Rest, Read   float64 // what other fronts asked at the last reading, and when
+	Top          float64 // top rates of all own sessions at that reading
+	Load, Seen   float64 // what a server last said, and when
+	Lift, Lifted float64 // what short-delivery notes lift demand to, and when
+}
+
+func (l *link) memory() Reading {
+	return Reading{l.told, l.size, l.rest, l.read, l.at, l.load, l.seen, l.lift, l.lifted}
+}
+
+// recall takes a reading again; the size as a part of what is told now.
+func (l *link) recall(r Reading) {
+	if r.Told > 0 {
+		l.size = l.told * r.Size / r.Told
+	}
+	l.rest, l.read, l.at, l.load, l.seen, l.lift, l.lifted = r.Rest, r.Read, r.Top, r.Load, r.Seen, r.Lift, r.Lifted
+}
+
+// Memory gives what the front has learned.
+func (f *Front) Memory() Memory {
+	m := Memory{Taken: slices.Clone(f.taken), Further: slices.Clone(f.further), Usual: f.usual, UsualAt: f.usualAt, Settled: f.settled}
+	for _, s := range f.servers {
+		m.Servers = append(m.Servers, Remembered{s.id, s.born, s.slot, s.used, s.aside, s.full, s.life.mean, s.life.dev, s.heard,
+			s.link.memory()})
+	}
+	for _, l := range f.uplinks {
+		m.Uplinks = append(m.Uplinks, l.memory())
+	}
+	return m
+}
+
+// Recall takes a memory, after the first Directory and before any session. Servers that are not listed are passed over.
+func (f *Front) Recall(m Memory) {
+	f.taken, f.further = slices.Clone(m.Taken), slices.Clone(m.Further)
+	f.usual, f.usualAt, f.settled = m.Usual, m.UsualAt, cmp.Or(m.Settled, f.settled)
+	for _, r := range m.Servers {
+		s := f.server(r.ID)
+		if s == nil {
+			continue
+		}
+		if r.Slot >= 0 {
+			s.slot, s.used = r.Slot, r.Used
+		}
+		if s.life = (gaps{r.Gap, r.Dev}); s.born > r.Born {
+			continue // it has started anew
+		}
+		s.born, s.heard, s.full = r.Born, r.Heard, r.Full
+		s.link.recall(r.Link)
+		if r.Aside && f.probes { // probes alone bring it back
+			f.setAside(s)
+		}
+	}
+	for i, r := range m.Uplinks[:min(len(m.Uplinks), len(f.uplinks))] {
+		f.uplinks[i].recall(r)
+	}
+}
--- a/internal/front/boxes.go
+++ b/internal/front/boxes.go
@@ -57,7 +57,7 @@
 	f.work.Add(1)
 	go func() {
 		defer f.work.Done()
-		ctx, cancel := context.WithTimeout(ctx, time.Duration(f.terms.Bounds.ConnectTimeout*1e9))
+		ctx, cancel := context.WithTimeout(ctx, time.Duration(f.terms().Bounds.ConnectTimeout*1e9))
 		defer cancel()
 		raw, err := f.dial(ctx, host)
 		f.post(func() {
@@ -139,7 +139,7 @@
 // send sends a request; then hears of its answer, or nil where the connection ends first.
 func (c *boxConn) send(m *rtsp.Message, then func(*rtsp.Message)) {
 	c.cseq++
-	m.With("CSeq", strconv.Itoa(c.cseq)).With("User-Agent", "rainhaven/"+c.f.terms.Name)
+	m.With("CSeq", strconv.Itoa(c.cseq)).With("User-Agent", "rainhaven/"+c.f.terms().Name)
 	c.waits[c.cseq] = then
 	if err := c.out.Message(m.Append(nil)); err != nil {
 		c.close()
@@ -445,7 +445,7 @@
 			end(0, choice.NoConnection, none)
 			return
 		}
-		timer := time.AfterFunc(time.Duration(f.terms.Bounds.ProbeTimeout*1e9), func() {
+		timer := time.AfterFunc(time.Duration(f.terms().Bounds.ProbeTimeout*1e9), func() {
 			f.post(func() {
 				end(0, choice.TimedOut, none)
 				c.close()
@@ -484,7 +484,7 @@
 	if x == nil {
 		return
 	}
-	name := f.terms.Groups[x.group].Name
+	name := f.terms().Groups[x.group].Name
 	f.count.answers.WithLabelValues(name, v.String()).Inc()
 	f.count.answerIn.WithLabelValues(name).Observe(f.now() - x.asked)
 	slot := x.first
--- a/internal/front/counts.go
+++ b/internal/front/counts.go
@@ -10,7 +10,7 @@
 type counts struct {
 	requests, taken, answers, setups, ends, probes, orphans, descriptions *prometheus.CounterVec
 
-	malformed, unauthorized, handshakes, redirects, turnedAway, stray, shorts, notes, rungs prometheus.Counter
+	malformed, unauthorized, handshakes, redirects, turnedAway, stray, shorts, notes, rungs, renewals prometheus.Counter
 
 	sessions prometheus.Gauge
 	settle   prometheus.Histogram
@@ -42,6 +42,7 @@
 		stray:        one("stray_total", "Frames and answers that belong to nothing."),
 		shorts:       one("shorts_total", "Shares under the full rate told to the module, and their ends."),
 		notes:        one("load_notes_total", "Load notes told to the module."),
+		renewals:     one("renewals_total", "New settings taken in service."),
 		rungs:        one("rung_changes_total", "Changes of rung asked of boxes."),
 		sessions:     prometheus.NewGauge(prometheus.GaugeOpts{Name: "rainhaven_sessions", Help: "Sessions held."}),
 		settle: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "rainhaven_settle_seconds",
@@ -56,7 +57,7 @@
 		return c, nil
 	}
 	for _, m := range []prometheus.Collector{c.requests, c.taken, c.answers, c.setups, c.ends, c.probes, c.orphans, c.descriptions,
-		c.malformed, c.unauthorized, c.handshakes, c.redirects, c.turnedAway, c.stray, c.shorts, c.notes, c.rungs, c.sessions, c.settle, c.lost, c.answerIn} {
+		c.malformed, c.unauthorized, c.handshakes, c.redirects, c.turnedAway, c.stray, c.shorts, c.notes, c.rungs, c.renewals, c.sessions, c.settle, c.lost, c.answerIn} {
 		if err := reg.Register(m); err != nil {
 			return nil, fmt.Errorf("registering metrics: %w", err)
 		}
--- a/internal/front/describe.go
+++ b/internal/front/describe.go
@@ -27,8 +27,8 @@
 func (v *viewer) describe(s *slot) {
 	f := v.f
 	p, err := rtsp.ParsePlace(s.req.URL)
-	title, known := f.terms.Titles[p.Title]
-	if err != nil || f.terms.GroupIndex(p.Group) < 0 || !known {
+	title, known := f.terms().Titles[p.Title]
+	if err != nil || f.terms().GroupIndex(p.Group) < 0 || !known {
 		v.status(s, rtsp.NotFound)
 		return
 	}
@@ -71,7 +71,7 @@
 
 // askDescription asks a holder and hears it out for its time.
 func (f *Front) askDescription(title string, box choice.ServerID) {
-	t := f.terms.Titles[title]
+	t := f.terms().Titles[title]
 	over := false
 	got := func(body []byte, outcome string) {
 		if over {
@@ -95,7 +95,7 @@
 				}
 			})
 		})
-		url := rtsp.Place{Host: c.host, Group: f.terms.Groups[0].Name, Title: title, Track: -1}.URL()
+		url := rtsp.Place{Host: c.host, Group: f.terms().Groups[0].Name, Title: title, Track: -1}.URL()
 		c.send(rtsp.Request(rtsp.Describe, url).With("Accept", "application/sdp"), func(m *rtsp.Message) {
 			timer.Stop()
 			if m == nil {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -64,7 +64,7 @@
 
 // Front is one front. Make it with New, run it with Serve.
 type Front struct {
-	terms   settings.Terms
+	current atomic.Pointer[settings.Terms] // read by anyone, changed by the loop alone
 	log     *zap.Logger
 	count   *counts
 	dial    func(ctx context.Context, address string) (net.Conn, error)
@@ -84,6 +84,8 @@
 	// Owned by the loop.
 	table     *session.Table
 	gate      *entry.Gate // nil where no users are named
+	key       []byte      // of the gate's
+	users     string      // a print of those named
 	ear       *hearing.Ear
 	keeper    *pool.Keeper
 	address   map[choice.ServerID]string // of boxes listed; a box that left is kept while sessions are there
@@ -104,7 +106,7 @@
 
 // New makes a front. It fails only where its metrics can't be registered.
 func New(terms settings.Terms, o Options) (*Front, error) {
-	f := &Front{terms: terms, log: o.Log, dial: o.Dial, began: time.Now(), events: make(chan func(), mostEvents),
+	f := &Front{log: o.Log, dial: o.Dial, began: time.Now(), events: make(chan func(), mostEvents),
 		done: make(chan struct{}), quit: make(chan struct{}), address: map[choice.ServerID]string{},
 		viewers: map[*viewer]struct{}{}, sess: map[choice.SessID]*sess{}, conns: map[pool.Conn]*boxConn{},
 		atBox: map[choice.SessID]*boxConn{}}
@@ -129,22 +131,18 @@
 		}
 		terms.Figures.Seed = binary.LittleEndian.Uint64(b[:])
 	}
-	bounds := session.Bounds{Sessions: terms.Bounds.Sessions, ViewerIdle: terms.Bounds.ViewerIdle,
-		KeepAlive: terms.Bounds.KeepAlive}
-	for _, g := range terms.Groups {
-		bounds.SetupTimeout = append(bounds.SetupTimeout, g.SetupTimeout)
-	}
-	var key [32]byte
-	if _, err := rand.Read(key[:]); err != nil {
+	f.key = make([]byte, 32)
+	if _, err := rand.Read(f.key); err != nil {
 		return nil, err
 	}
-	f.gate = entry.New(terms.Realm, terms.Users, key[:])
-	f.terms.Users = nil // the gate has what it needs of them
+	f.gate, f.users = entry.New(terms.Realm, terms.Users, f.key), usersPrint(&terms, f.key)
+	terms.Users = nil // the gate has what it needs of them
+	f.current.Store(&terms)
 	var orders session.Orders = carrier{f}
 	if o.Spoil != nil {
 		orders = o.Spoil(orders)
 	}
-	f.table = session.New(f.now(), terms.Figures, bounds, orders)
+	f.table = session.New(f.now(), terms.Figures, f.bounds(), orders)
 	f.ear = hearing.New(terms.Figures.NoteEvery)
 	f.described, f.wait = describe.New(terms.Figures.Cells), map[string][]waiter{}
 	f.keeper = pool.New(terms.Bounds.BoxConnections)
@@ -157,6 +155,17 @@
 	return f, nil
 }
 
+func (f *Front) terms() *settings.Terms { return f.current.Load() }
+
+func (f *Front) bounds() session.Bounds {
+	t := f.terms()
+	b := session.Bounds{Sessions: t.Bounds.Sessions, ViewerIdle: t.Bounds.ViewerIdle, KeepAlive: t.Bounds.KeepAlive}
+	for _, g := range t.Groups {
+		b.SetupTimeout = append(b.SetupTimeout, g.SetupTimeout)
+	}
+	return b
+}
+
 // now is the front's clock in seconds since 1970: set once and monotonic from then on, so that a step of the
 // machine's clock moves no wait. Fronts need it alike to within a slot of a cold box (choice.Front).
 func (f *Front) now() float64 { return f.epoch + time.Since(f.began).Seconds() }
@@ -290,6 +299,11 @@
 }
 
 func (f *Front) boxes(whole bool, list []settings.Box) {
+	f.table.Directory(whole, f.listed(whole, list))
+}
+
+// listed takes a list for the front's own part and gives the table's.
+func (f *Front) listed(whole bool, list []settings.Box) []choice.Listing {
 	if whole {
 		clear(f.address)
 	}
@@ -300,8 +314,8 @@
 			delete(f.address, b.ID)
 		}
 	}
-	f.table.Directory(whole, listings)
 	f.described.Boxes(whole, listings)
+	return listings
 }
 
 // Serve takes viewers from a listener until it fails or the front is closed; then it returns nil. Several listeners
@@ -346,7 +360,7 @@
 			continue
 		}
 		pause = 5 * time.Millisecond
-		if n := f.open.Add(1); f.terms.Bounds.Connections > 0 && n > int64(f.terms.Bounds.Connections) {
+		if n := f.open.Add(1); f.terms().Bounds.Connections > 0 && n > int64(f.terms().Bounds.Connections) {
 			f.open.Add(-1)
 			f.count.turnedAway.Inc()
 			c.Close()
@@ -374,13 +388,13 @@
 // redirect asks each viewer with a session to go on at another front (RFC 2326, section 10.10). Those that don't know the
 // request play on until the drain's end.
 func (f *Front) redirect() {
-	if f.terms.Redirect == "" {
+	if f.terms().Redirect == "" {
 		return
 	}
 	for v := range f.viewers {
 		for _, id := range slices.Sorted(maps.Keys(v.sess)) {
 			x := v.sess[id]
-			to := rtsp.Place{Host: f.terms.Redirect, Group: x.place.Group, Title: x.place.Title, Track: -1, Query: x.place.Query}
+			to := rtsp.Place{Host: f.terms().Redirect, Group: x.place.Group, Title: x.place.Title, Track: -1, Query: x.place.Query}
 			v.asked++
 			m := rtsp.Request(rtsp.Redirect, v.url(x)).With("CSeq", strconv.Itoa(v.asked)).With("Session", string(id)).With("Location", to.URL())
 			v.out.Message(m.Append(nil))
@@ -409,7 +423,7 @@
 		}
 		clear(f.sess)
 		clear(f.viewers)
-		f.table = session.New(f.now(), f.terms.Figures, session.Bounds{SetupTimeout: make([]float64, len(f.terms.Groups))}, nowhere{})
+		f.table = session.New(f.now(), f.terms().Figures, session.Bounds{SetupTimeout: make([]float64, len(f.terms().Groups))}, nowhere{})
 	})
 	f.Close()
 }
--- a/internal/front/handed.go
+++ b/internal/front/handed.go
@@ -40,7 +40,7 @@
 			if !x.plays || c.session == "" {
 				continue
 			}
-			h := Handed{ID: id, Group: f.terms.Groups[x.group].Name, Title: x.place.Title, Query: x.place.Query, BestRung: x.best,
+			h := Handed{ID: id, Group: f.terms().Groups[x.group].Name, Title: x.place.Title, Query: x.place.Query, BestRung: x.best,
 				Rung: c.rung, Box: c.box, Session: c.session}
 			for _, t := range x.tracks {
 				h.Tracks = append(h.Tracks, HandedTrack{t.n, t.low, t.high, t.box})
@@ -61,8 +61,8 @@
 
 // adopt takes over a session before the loop runs. The box is asked whether it knows it; what it does not know ends.
 func (f *Front) adopt(h Handed) {
-	g := f.terms.GroupIndex(h.Group)
-	title, known := f.terms.Titles[h.Title]
+	g := f.terms().GroupIndex(h.Group)
+	title, known := f.terms().Titles[h.Title]
 	if g < 0 || !known || len(h.Tracks) == 0 || f.sess[h.ID] != nil {
 		return
 	}
--- /dev/null
+++ b/internal/front/renew.go
@@ -0,0 +1,128 @@
+package front
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"reflect"
+
+	"go.uber.org/zap"
+
+	"rainhaven/choice/entry"
+	"rainhaven/choice/hearing"
+	"rainhaven/choice/renewal"
+	"rainhaven/choice/session"
+	"rainhaven/internal/settings"
+)
+
+// ErrOver is that of a front that has ended.
+var ErrOver = errors.New("the front has ended")
+
+// Renew has new terms take hold in service, all of them or none; the plan says which and why. Sessions go on.
+func (f *Front) Renew(t settings.Terms) (plan renewal.Plan, err error) {
+	if !f.call(func() { plan = f.renew(t) }) {
+		return plan, ErrOver
+	}
+	return plan, nil
+}
+
+func (f *Front) renew(t settings.Terms) renewal.Plan {
+	old := f.terms()
+	terms := renewal.Terms{Changed: changed(old, &t)}
+	terms.Changed = append(terms.Changed, f.usersChanged(&t)...)
+	for _, g := range old.Groups {
+		terms.Before = append(terms.Before, g.Name)
+	}
+	for _, g := range t.Groups {
+		terms.Groups = append(terms.Groups, g.Name)
+	}
+	p := renewal.Decide(terms)
+	if len(p.Refused) > 0 {
+		return p
+	}
+	if p.Has(renewal.Users) {
+		f.gate, f.users = entry.New(t.Realm, t.Users, f.key), usersPrint(&t, f.key)
+	}
+	t.Users = nil // the gate has what it needs of them
+	t.Figures.Seed = old.Figures.Seed
+	f.current.Store(&t)
+	if p.Has(renewal.Limits) {
+		f.keeper.PerBox(t.Bounds.BoxConnections)
+	}
+	if p.Has(renewal.Ear) {
+		f.ear = hearing.New(t.Figures.NoteEvery)
+	}
+	f.described.Cells(t.Figures.Cells)
+	switch {
+	case p.Has(renewal.Module):
+		for _, x := range f.sess {
+			x.group = p.Groups[x.group]
+		}
+		list := f.listed(true, t.Boxes)
+		f.table.Renew(session.Terms{Figures: t.Figures, Bounds: f.bounds(), Groups: p.Groups}, list, p.Keep)
+	default:
+		if p.Has(renewal.Limits) {
+			f.table.Bound(f.bounds())
+		}
+		if p.Has(renewal.Boxes) {
+			f.boxes(true, t.Boxes)
+		}
+	}
+	f.count.renewals.Inc()
+	f.log.Info("new settings taken", zap.Any("changed", p.Changed))
+	return p
+}
+
+// changed names the parts in which terms differ, by the names of choice/renewal; users are compared apart.
+func changed(a, b *settings.Terms) (list []renewal.Part) {
+	x, y := &a.Figures, &b.Figures
+	for _, c := range []struct {
+		part   renewal.Part
+		of, to any
+	}{
+		{"front(name)", a.Name, b.Name},
+		{"front(listen, tls_listen, admin)", [3]string{a.Listen, a.TLS.Listen, a.Admin}, [3]string{b.Listen, b.TLS.Listen, b.Admin}},
+		{"front(cert, key)", [2]string{a.TLS.Cert, a.TLS.Key}, [2]string{b.TLS.Cert, b.TLS.Key}},
+		{"front(me, fronts)", [2]int{x.Me, x.Fronts}, [2]int{y.Me, y.Fronts}},
+		{"front(zone)", x.Zone, y.Zone},
+		{"front(redirect)", a.Redirect, b.Redirect},
+		{"box_tls", a.BoxTLS, b.BoxTLS},
+		{"ladder", x.Ladder, y.Ladder},
+		{"group", []any{x.Groups, a.Groups}, []any{y.Groups, b.Groups}},
+		{"fleet", [5]float64{x.FleetLinks, x.UplinkMean, x.CrossZonePrice, float64(x.Cells), float64(x.Racks)},
+			[5]float64{y.FleetLinks, y.UplinkMean, y.CrossZonePrice, float64(y.Cells), float64(y.Racks)}},
+		{"zone", a.Zones, b.Zones},
+		{"kind", []any{a.Kinds, x.Places}, []any{b.Kinds, y.Places}},
+		{"setups", [5]float64{float64(x.MostSetups), x.Advice, x.SpareSetups, x.SetupShare, x.SetupWindow},
+			[5]float64{float64(y.MostSetups), y.Advice, y.SpareSetups, y.SetupShare, y.SetupWindow}},
+		{"cold", [4]float64{x.WarmUp, x.ColdShare, x.FallFactor, x.FallTime}, [4]float64{y.WarmUp, y.ColdShare, y.FallFactor, y.FallTime}},
+		{"reports", []any{x.Reporting, x.NoteLag, x.NoteEvery, x.FullAt, x.Probes}, []any{y.Reporting, y.NoteLag, y.NoteEvery, y.FullAt, y.Probes}},
+		{"drains", a.Grace, b.Grace},
+		{"title", a.Titles, b.Titles},
+		{"box", a.Boxes, b.Boxes},
+		{"limits", a.Bounds, b.Bounds},
+	} {
+		if !reflect.DeepEqual(c.of, c.to) {
+			list = append(list, c.part)
+		}
+	}
+	return list
+}
+
+// usersPrint tells one set of users and their realm from another, without keeping passwords.
+func usersPrint(t *settings.Terms, key []byte) string {
+	h := hmac.New(sha256.New, key)
+	fmt.Fprintf(h, "%q", t.Realm)
+	for _, u := range t.Users {
+		fmt.Fprintf(h, "%q%q", u.Name, u.Password)
+	}
+	return string(h.Sum(nil))
+}
+
+func (f *Front) usersChanged(t *settings.Terms) []renewal.Part {
+	if usersPrint(t, f.key) == f.users {
+		return nil
+	}
+	return []renewal.Part{"front(realm) and user"}
+}
--- a/internal/front/viewer.go
+++ b/internal/front/viewer.go
@@ -78,12 +78,12 @@
 
 // take begins a viewer's connection.
 func (f *Front) take(c net.Conn) {
-	v := &viewer{f: f, conn: rtsp.NewConn(c, rtsp.Bounds{}), out: relay.NewOut(f.terms.Bounds.Queue),
+	v := &viewer{f: f, conn: rtsp.NewConn(c, rtsp.Bounds{}), out: relay.NewOut(f.terms().Bounds.Queue),
 		room: make(chan struct{}, limits.Pipelined), sess: map[choice.SessID]*sess{}}
 	f.work.Add(2)
 	go func() {
 		defer f.work.Done()
-		err := v.out.Run(c, time.Duration(f.terms.Bounds.WriteStall*1e9))
+		err := v.out.Run(c, time.Duration(f.terms().Bounds.WriteStall*1e9))
 		if err == nil {
 			// Half closed first: input not read yet would turn the last answer into a reset.
 			if t, ok := c.(interface{ CloseWrite() error }); ok {
@@ -129,7 +129,7 @@
 
 // read takes requests until the connection ends.
 func (v *viewer) read() error {
-	idle := time.Duration((v.f.terms.Bounds.ViewerIdle + 5) * 1e9)
+	idle := time.Duration((v.f.terms().Bounds.ViewerIdle + 5) * 1e9)
 	var second time.Time
 	frames := 0
 	for {
@@ -384,8 +384,8 @@
 func (v *viewer) setup(s *slot) {
 	f, m := v.f, s.req
 	p, err := rtsp.ParsePlace(m.URL)
-	g := f.terms.GroupIndex(p.Group)
-	title, known := f.terms.Titles[p.Title]
+	g := f.terms().GroupIndex(p.Group)
+	title, known := f.terms().Titles[p.Title]
 	if err != nil || g < 0 || !known {
 		v.status(s, rtsp.NotFound)
 		return
@@ -430,8 +430,8 @@
 	if !(bandwidth >= 0) || math.IsInf(bandwidth, 0) {
 		bandwidth = 0
 	}
-	x.best = session.BestRung(f.terms.Groups[g].Rates, bandwidth)
-	f.count.taken.WithLabelValues(f.terms.Groups[g].Name).Inc()
+	x.best = session.BestRung(f.terms().Groups[g].Rates, bandwidth)
+	f.count.taken.WithLabelValues(f.terms().Groups[g].Name).Inc()
 	f.table.Ask(x.id, session.Ask{Group: g, Title: p.Title, StartCell: title.StartCell, Span: title.Span,
 		BestRung: x.best, Length: title.Length})
 }
@@ -545,5 +545,5 @@
 }
 
 func (f *Front) sessionField(x *sess) string {
-	return rtsp.SessionField(string(x.id), time.Duration(f.terms.Bounds.ViewerIdle*1e9))
+	return rtsp.SessionField(string(x.id), time.Duration(f.terms().Bounds.ViewerIdle*1e9))
 }
