--- a/internal/front/renew_test.go
+++ b/internal/front/renew_test.go
@@ -116,4 +116,3 @@
 		t.Errorf("a front that has ended: %v", err)
 	}
 }
-
