--- a/choice/lifecycle/lifecycle.go
+++ b/choice/lifecycle/lifecycle.go
@@ -52,6 +52,9 @@
 	// cutTime is how many seconds the end of all sessions may take: TEARDOWNs are waited for 2 s, queued answers and
 	// connections are closed within another.
 	cutTime = 5.0
+	// A drain takes so many seconds at least, even without sessions: against viewers that a load balancer, which asks for
+	// health each half second, still sends meanwhile, and whose connections would break when the sockets close.
+	linger = 1.0
 	// A second signal within so many seconds of the first is the same wish: a terminal and a supervisor both pass one on.
 	same = 0.2
 )
@@ -66,12 +69,14 @@
 	code    Code
 	why     string
 	until   float64 // end of the drain, or of the cut
+	least   float64 // the drain's end if the last session is over by then
+	drained bool    // it is
 	asked   float64 // the last signal to end
 	reload  bool    // one is wanted
 	loading bool    // one is under way
 	loaded  float64 // when the last one took hold
 	refused string  // why the last one did not; empty where it did
-	reloads int
+
 }
 
 // New begins a process; sessions may play on for drain seconds once it is told to stop.
@@ -143,9 +148,7 @@
 
 // Drained tells that the last session is over.
 func (l *Life) Drained() {
-	if l.wanted == Draining {
-		l.end(Cutting, l.code, l.why)
-	}
+	l.drained = l.wanted == Draining
 }
 
 // Ended tells that the front has ended.
@@ -168,6 +171,8 @@
 // Next is the instant at which Settle is wanted, 0 where none is.
 func (l *Life) Next() float64 {
 	switch {
+	case l.state == Draining && l.drained:
+		return min(l.until, l.least)
 	case l.state == Draining || l.state == Cutting:
 		return l.until
 	case l.reload && !l.loading && l.state == Serving:
@@ -178,6 +183,9 @@
 
 // Settle gives the orders that lead from where the process is to where it is wanted.
 func (l *Life) Settle() {
+	if l.state == Draining && l.drained && l.now >= l.least {
+		l.end(Cutting, l.code, l.why)
+	}
 	if l.until > 0 && l.now >= l.until {
 		switch l.state {
 		case Draining:
@@ -191,7 +199,7 @@
 		l.state++
 		switch {
 		case l.state == Draining && l.wanted == Draining:
-			l.until = l.now + l.drain
+			l.until, l.least = l.now+l.drain, l.now+linger
 			l.out.Drain()
 		case l.state == Cutting && l.wanted == Cutting:
 			l.until = l.now + cutTime
--- a/choice/session/renew.go
+++ b/choice/session/renew.go
@@ -63,6 +63,46 @@
 // Bound takes new bounds alone: they hold for what begins from now on.
 func (t *Table) Bound(b Bounds) { t.bounds = b }
 
+// Memory and Recall are the module's: what it learned, and its taking that again after the first list and before any
+// session.
+func (t *Table) Memory() choice.Memory  { return t.mod.Memory() }
+func (t *Table) Recall(m choice.Memory) { t.mod.Recall(m) }
+
+// Boxes is how many boxes are listed, and how many of them may get new sessions as far as the list goes.
+func (t *Table) Boxes() (listed, usable int) {
+	for _, e := range t.list {
+		if e.State != choice.Gone {
+			listed++
+		}
+		if e.State == choice.Ready {
+			usable++
+		}
+	}
+	return listed, usable
+}
+
+// Freeze has no SETUP ordered any more, as another process decides from here on for this front: requests without one are
+// busy-replied, those with one out get what it brings. Sessions go on. It gives what the module has learned.
+func (t *Table) Freeze() choice.Memory {
+	t.stop = true
+	t.mod.Settle()
+	for _, l := range t.inOrder() {
+		switch {
+		case l.waits():
+			t.mark(l)
+			l.verdict, l.comeBack, l.toldModule = Busy, 1, false
+			t.mod.Left(l.id)
+		case l.phase == connecting || l.phase == asked:
+			t.mark(l)
+			l.alone, l.until = true, max(l.until, l.giveUp-margin)
+		}
+	}
+	return t.mod.Memory()
+}
+
+// Resume takes new requests again after Freeze: the other process came to nothing.
+func (t *Table) Resume() { t.stop = false }
+
 // waits tells whether a request waits within the module and no SETUP was ever ordered for it.
 func (l *life) waits() bool { return l.phase == idle && l.toldModule && l.verdict == 0 && l.try == 0 }
 
--- a/choice/session/search_test.go
+++ b/choice/session/search_test.go
@@ -166,6 +166,14 @@
 		w.reload()
 		return true
 	}},
+	{"front is frozen", func(w *world) bool {
+		if w.t.stop {
+			return false
+		}
+		w.do(func() { w.t.Freeze() })
+		w.frozen = len(w.tries(func(*atBox) bool { return true }))
+		return true
+	}},
 	{"front stops", func(w *world) bool {
 		if w.t.stop {
 			return false
@@ -197,7 +205,7 @@
 	for _, n := range w.tries(func(*atBox) bool { return true }) {
 		fmt.Fprint(&b, "|", n, *v.tries[n])
 	}
-	fmt.Fprint(&b, "|", v.gone, v.answers, len(v.asks), v.ended, v.mayRan, len(w.ops), len(w.probes), w.t.stop, w.reloads, int(w.now*50))
+	fmt.Fprint(&b, "|", v.gone, v.answers, len(v.asks), v.ended, v.mayRan, len(w.ops), len(w.probes), w.t.stop, w.reloads, w.frozen, int(w.now*50))
 	for id := choice.ServerID(10); id < 14; id++ {
 		fmt.Fprint(&b, w.state[id])
 	}
--- a/choice/session/session_test.go
+++ b/choice/session/session_test.go
@@ -51,6 +51,7 @@
 	orders  int
 	seats   int // of the paid group's
 	reloads int
+	frozen  int // SETUPs that there were when the front was frozen; no further one may follow
 }
 
 func newWorld(tb rapid.TB) *world {
@@ -104,6 +105,9 @@
 		w.tb.Fatalf("%s: a SETUP to box %d, which is %v", id, box, w.state[box])
 	}
 	v.tries[try] = &atBox{out: true, box: box}
+	if w.frozen > 0 && len(v.tries) > w.frozen {
+		w.tb.Fatalf("%s: SETUP %d of a frozen front", id, try)
+	}
 }
 
 func (w *world) Withdraw(id choice.SessID, try int) {
--- a/cmd/rainhaven/lab.go
+++ b/cmd/rainhaven/lab.go
@@ -191,6 +191,7 @@
 			}
 			rows, err := measure.Run(c.Context(), o, nil)
 			if err != nil {
+				measure.Write(c.OutOrStdout(), rows) // what was measured until then stands
 				return failure{exitFailed, err}
 			}
 			if asJSON {
--- a/cmd/rainhaven/main.go
+++ b/cmd/rainhaven/main.go
@@ -76,7 +76,7 @@
 		SilenceErrors: true, SilenceUsage: true,
 		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
 	}
-	root.AddCommand(frontCommand(), boxCommand(), playCommand(), dayCommand(), checkCommand(), tryCommand(), measureCommand(), stormCommand(), versionCommand())
+	root.AddCommand(frontCommand(), boxCommand(), playCommand(), dayCommand(), checkCommand(), tryCommand(), measureCommand(), stormCommand(), fleetCommand(), versionCommand())
 	return root
 }
 
@@ -124,10 +124,11 @@
 }
 
 func checkCommand() *cobra.Command {
-	return &cobra.Command{Use: "check FILE", Short: "Check a front's settings: every mistake with its line and what would be right",
+	var instance int
+	c := &cobra.Command{Use: "check FILE", Short: "Check a front's settings: every mistake with its line and what would be right",
 		Example: "  rainhaven check examples/front.star", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			t, err := settings.ReadTerms(args[0])
+			t, err := settings.ReadInstance(args[0], instance)
 			var wrong settings.Mistakes
 			if err != nil && !errors.As(err, &wrong) {
 				return failure{exitFailed, err}
@@ -138,4 +139,6 @@
 			fmt.Fprintf(c.OutOrStdout(), "%s: front %s, %d boxes, %d titles, %d service groups: nothing wrong\n", args[0], t.Name, len(t.Boxes), len(t.Titles), len(t.Groups))
 			return nil
 		}}
+	c.Flags().IntVar(&instance, "instance", 0, "which of many fronts of one script")
+	return c
 }
--- a/cmd/rainhaven/serve.go
+++ b/cmd/rainhaven/serve.go
@@ -4,21 +4,20 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
-	"net/http"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/collectors"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
 
 	"rainhaven/choice"
+	"rainhaven/internal/daemon"
 	"rainhaven/internal/front"
-	"rainhaven/internal/keys"
 	"rainhaven/internal/lab/box"
 	"rainhaven/internal/lab/player"
 	"rainhaven/internal/settings"
@@ -27,7 +26,9 @@
 func frontCommand() *cobra.Command {
 	var config, level, format string
 	var drain time.Duration
-	c := &cobra.Command{Use: "front --config FILE", Short: "Run a front until it is told to stop; it drains first",
+	var instance int
+	var supervised, upgrade bool
+	c := &cobra.Command{Use: "front --config FILE", Short: "Run a front until it is told to stop; it drains first, and reads its settings again on SIGHUP",
 		Example: "  rainhaven front --config examples/front.star\n  rainhaven front --config examples/front.star --log debug --log-format console",
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
@@ -36,112 +37,31 @@
 				return err
 			}
 			defer log.Sync()
-			t, err := settings.ReadTerms(config)
-			if err != nil {
-				var wrong settings.Mistakes
-				if errors.As(err, &wrong) {
-					return err
-				}
-				return failure{exitFailed, err}
+			signals := make(chan os.Signal, 4)
+			signal.Notify(signals, syscall.SIGHUP, syscall.SIGINT, syscall.SIGTERM)
+			defer signal.Stop(signals)
+			var owner io.Reader
+			if supervised {
+				owner = os.Stdin
+			}
+			code, err := daemon.Run(daemon.Options{Read: func() (settings.Terms, error) { return settings.ReadInstance(config, instance) }, Drain: drain,
+				Log: log, Signals: signals, Owner: owner, Upgrade: upgrade})
+			var wrong settings.Mistakes
+			if err == nil || errors.As(err, &wrong) {
+				return err
 			}
-			return serveFront(c.Context(), t, log, drain)
+			return failure{int(code), err}
 		}}
 	c.Flags().StringVarP(&config, "config", "c", "", "settings, a Starlark script")
 	c.Flags().DurationVar(&drain, "drain", 30*time.Second, "how long sessions may play on once the front is told to stop")
+	c.Flags().IntVar(&instance, "instance", 0, "which of many fronts of one script: what the name instance stands for in it")
+	c.Flags().BoolVar(&upgrade, "upgrade", false, "take the sockets of the front of this name that runs; it drains then")
+	c.Flags().BoolVar(&supervised, "supervised", false, "drain and end once standard input ends")
 	c.MarkFlagRequired("config")
 	logFlags(c, &level, &format)
 	return c
 }
 
-// serveFront runs a front until the context is done, then drains it.
-func serveFront(ctx context.Context, t settings.Terms, log *zap.Logger, drain time.Duration) error {
-	reg := prometheus.NewRegistry()
-	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	l, err := net.Listen("tcp", t.Listen)
-	if err != nil {
-		return failed("the address for viewers: %w", err)
-	}
-	var work sync.WaitGroup
-	defer work.Wait()
-	follow, unfollow := context.WithCancel(context.Background())
-	defer unfollow()
-	o := front.Options{Log: log, Registry: reg}
-	if t.BoxTLS.Roots != "" {
-		roots, err := keys.OpenRoots(t.BoxTLS.Roots, log)
-		if err != nil {
-			l.Close()
-			return failure{exitFailed, err}
-		}
-		work.Go(func() { roots.Follow(follow, 2*time.Second) })
-		o.Dial = roots.Dial(t.BoxTLS.Name)
-	}
-	f, err := front.New(t, o)
-	if err != nil {
-		l.Close()
-		return failure{exitFailed, err}
-	}
-	defer f.Close()
-	if t.Admin != "" {
-		at, stop, err := admin(t.Admin, f, reg, &work)
-		if err != nil {
-			l.Close()
-			return failed("the address for health and metrics: %w", err)
-		}
-		defer stop()
-		t.Admin = at
-	}
-	served := make(chan error, 2)
-	if t.TLS.Listen != "" {
-		files, err := keys.Open(t.TLS.Cert, t.TLS.Key, log)
-		if err != nil {
-			l.Close()
-			return failure{exitFailed, err}
-		}
-		tl, err := net.Listen("tcp", t.TLS.Listen)
-		if err != nil {
-			l.Close()
-			return failed("the address for viewers over TLS: %w", err)
-		}
-		t.TLS.Listen = tl.Addr().String()
-		work.Go(func() { files.Follow(follow, 2*time.Second) })
-		work.Go(func() { served <- f.ServeTLS(tl, files.TLS()) })
-	}
-	work.Go(func() { served <- f.Serve(l) })
-	log.Info("serving", zap.String("front", t.Name), zap.String("listen", l.Addr().String()), zap.String("tls", t.TLS.Listen), zap.String("admin", t.Admin), zap.Int("boxes", len(t.Boxes)))
-	select {
-	case err := <-served:
-		return failed("taking viewers: %w", err)
-	case <-ctx.Done():
-	}
-	log.Info("draining", zap.Int("sessions", f.Sessions()), zap.Duration("at most", drain))
-	wait, cancel := context.WithTimeout(context.Background(), drain)
-	defer cancel()
-	f.Drain(wait)
-	log.Info("stopping", zap.Int("sessions", f.Sessions()))
-	return nil
-}
-
-// admin serves health and metrics on an address of their own.
-func admin(address string, f *front.Front, reg *prometheus.Registry, work *sync.WaitGroup) (at string, stop func(), err error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return "", nil, err
-	}
-	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
-	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		ok := f.Ready(500 * time.Millisecond)
-		if !ok {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-		fmt.Fprintf(w, "{\"ready\": %v}\n", ok)
-	})
-	s := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second}
-	work.Go(func() { s.Serve(l) })
-	return l.Addr().String(), func() { s.Close() }, nil
-}
-
 func boxCommand() *cobra.Command {
 	var listen string
 	var id, places, fps int
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -45,6 +45,7 @@
 	"rainhaven/choice"
 	"rainhaven/choice/describe"
 	"rainhaven/choice/entry"
+	"rainhaven/choice/health"
 	"rainhaven/choice/hearing"
 	"rainhaven/choice/limits"
 	"rainhaven/choice/pool"
@@ -58,6 +59,7 @@
 	Log      *zap.Logger
 	Registry prometheus.Registerer
 	Dial     func(ctx context.Context, address string) (net.Conn, error)
+	Memory   *choice.Memory                      // what an earlier front had learned, as far as it is believed
 	Handed   []Handed                            // sessions that an earlier front gave up
 	Spoil    func(session.Orders) session.Orders // for days that must fail: orders go through it
 }
@@ -78,6 +80,9 @@
 	context context.Context
 	cancel  context.CancelFunc
 	serving atomic.Bool
+	mu      sync.Mutex     // of what follows
+	takes   []net.Listener // as many as are served
+	halted  bool           // none takes viewers for now
 	closing atomic.Bool
 	open    atomic.Int64 // viewers' connections
 
@@ -97,8 +102,9 @@
 	wait      map[string][]waiter // DESCRIBEs without answer, by title; emptied as a holder answers or none does
 	late      int                 // withdrawn SETUPs whose answer is waited for
 	serial    uint64
-	after     []func() // what an order brings about at once; emptied by the loop
-	drained   func()   // called once when the last session is over after Drain
+	after     []func()      // what an order brings about at once; emptied by the loop
+	last      choice.Memory // once the loop has ended
+	drained   func()        // called once when the last session is over after Drain
 }
 
 // mostEvents may wait for the loop before those who bring more wait themselves.
@@ -147,6 +153,9 @@
 	f.described, f.wait = describe.New(terms.Figures.Cells), map[string][]waiter{}
 	f.keeper = pool.New(terms.Bounds.BoxConnections)
 	f.boxes(true, terms.Boxes)
+	if o.Memory != nil {
+		f.table.Recall(*o.Memory)
+	}
 	for _, h := range o.Handed {
 		f.adopt(h)
 	}
@@ -231,6 +240,7 @@
 			f.table.At(f.now())
 			f.table.Cut()
 			f.settle()
+			f.last = f.table.Memory()
 			f.shut()
 			return
 		}
@@ -336,6 +346,9 @@
 		l.Close()
 		return nil
 	}
+	f.mu.Lock()
+	f.takes, f.halted = append(f.takes, l), false
+	f.mu.Unlock()
 	f.serving.Store(true)
 	stop := context.AfterFunc(f.context, func() { l.Close() })
 	defer stop()
@@ -347,6 +360,12 @@
 				return nil
 			}
 			if errors.Is(err, net.ErrClosed) {
+				f.mu.Lock()
+				halted := f.halted
+				f.mu.Unlock()
+				if halted {
+					return nil
+				}
 				return err
 			}
 			// Out of descriptors, or a connection that was gone before it was taken: others still come.
@@ -448,6 +467,67 @@
 	return n
 }
 
+// Memory is what the front has learned; ok is false where it has ended.
+func (f *Front) Memory() (m choice.Memory, ok bool) {
+	ok = f.call(func() { m = f.table.Memory() })
+	return m, ok
+}
+
+// Last is what a front had learned when it was closed. Nothing but ends of sessions went to any box after it.
+func (f *Front) Last() choice.Memory {
+	<-f.done
+	return f.last
+}
+
+// Halt closes the listeners and has no SETUP ordered any more; sessions go on. It gives what the front has learned, for
+// the process that takes its place on sockets of its own. ok is false where the front has ended.
+func (f *Front) Halt() (m choice.Memory, ok bool) {
+	f.mu.Lock()
+	f.halted = true
+	for _, l := range f.takes {
+		l.Close()
+	}
+	f.takes = nil
+	f.mu.Unlock()
+	ok = f.call(func() { m = f.table.Freeze() })
+	return m, ok
+}
+
+// Resume takes requests again after Halt. Listeners have to be served anew.
+func (f *Front) Resume() { f.post(func() { f.table.Resume() }) }
+
+// Recall takes a memory before the front is served.
+func (f *Front) Recall(m choice.Memory) { f.call(func() { f.table.Recall(m) }) }
+
+// Facts gathers what choice/health judges of a front; its loop has so long to answer.
+func (f *Front) Facts(within time.Duration) (h health.Facts) {
+	t := f.terms()
+	h.Most, h.Unsaved = t.Bounds.Sessions, -1
+	got := make(chan health.Facts, 1)
+	timer := time.NewTimer(within)
+	defer timer.Stop()
+	ask := func() {
+		a := h
+		a.Answers, a.Sessions = true, f.table.Len()
+		a.Boxes, a.Usable = f.table.Boxes()
+		got <- a
+	}
+	select {
+	case f.events <- ask:
+	case <-f.done:
+		return h
+	case <-timer.C:
+		return h
+	}
+	select {
+	case a := <-got:
+		return a
+	case <-f.done:
+	case <-timer.C:
+	}
+	return h
+}
+
 // Ready tells whether the front takes viewers and its loop answers within the given time.
 func (f *Front) Ready(within time.Duration) bool {
 	if !f.serving.Load() {
--- a/internal/front/renew.go
+++ b/internal/front/renew.go
@@ -86,6 +86,7 @@
 		{"front(cert, key)", [2]string{a.TLS.Cert, a.TLS.Key}, [2]string{b.TLS.Cert, b.TLS.Key}},
 		{"front(me, fronts)", [2]int{x.Me, x.Fronts}, [2]int{y.Me, y.Fronts}},
 		{"front(zone)", x.Zone, y.Zone},
+		{"front(state)", a.State, b.State},
 		{"front(redirect)", a.Redirect, b.Redirect},
 		{"box_tls", a.BoxTLS, b.BoxTLS},
 		{"ladder", x.Ladder, y.Ladder},
--- a/internal/lab/day/script.go
+++ b/internal/lab/day/script.go
@@ -123,7 +123,7 @@
 
 // Read reads a day's script. The error is the file's, or settings.Mistakes.
 func Read(file string) (*Day, error) {
-	s, err := settings.ReadFile(file, Forms)
+	s, err := settings.ReadFile(file, Forms, 0)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/measure/measure.go
+++ b/internal/lab/measure/measure.go
@@ -348,18 +348,23 @@
 		return err
 	}
 	defer src.close()
-	f, err := start(ctx, build, []string{src.address})
-	if err != nil {
-		return err
+	// Each through a front of its own: at full speed sessions that a busy machine holds up pass for a short link, which a
+	// front remembers for half a minute and rightly turns new ones away.
+	through := func() (float64, error) {
+		f, err := start(ctx, build, []string{src.address})
+		if err != nil {
+			return 0, err
+		}
+		defer f.stop()
+		return transfer(ctx, f.way, conns, o.Seconds)
 	}
-	defer f.stop()
 	var d, t, ratios []float64
 	for range o.Reps {
 		a, err := transfer(ctx, way{src.address, nil}, conns, o.Seconds)
 		if err != nil {
 			return fmt.Errorf("straight: %w", err)
 		}
-		b, err := transfer(ctx, f.way, conns, o.Seconds)
+		b, err := through()
 		if err != nil {
 			return fmt.Errorf("through the front: %w", err)
 		}
--- a/internal/settings/read.go
+++ b/internal/settings/read.go
@@ -84,6 +84,7 @@
 		{Name: "key", Kind: Text, Doc: "file of its key"},
 		{Name: "redirect", Kind: Text, Doc: "host:port of a front that viewers are sent to while this one drains; empty is none"},
 		{Name: "admin", Kind: Text, Doc: "host:port for health and metrics; empty is none"},
+		{Name: "state", Kind: Text, Doc: "folder that exists, for what must outlive the process; empty keeps nothing"},
 		{Name: "me", Kind: Whole, Doc: "its number among the fronts, from 0"},
 		{Name: "fronts", Kind: Whole, Default: 1.0, Min: 1, Doc: "how many fronts there are"},
 		{Name: "zone", Kind: Text, Doc: "the zone it stands in"},
@@ -106,8 +107,11 @@
 }, Common)
 
 // ReadTerms reads a front's settings from a file. The error is the file's, or Mistakes.
-func ReadTerms(file string) (Terms, error) {
-	s, err := ReadFile(file, FrontForms)
+func ReadTerms(file string) (Terms, error) { return ReadInstance(file, 0) }
+
+// ReadInstance is ReadTerms for one of many fronts that share a script: it knows its number by the name instance.
+func ReadInstance(file string, instance int) (Terms, error) {
+	s, err := ReadFile(file, FrontForms, instance)
 	if err != nil {
 		return Terms{}, err
 	}
@@ -122,7 +126,7 @@
 func FrontTerms(s *Sheet) Terms {
 	t := CommonTerms(s)
 	e, _ := s.One("front")
-	t.Name, t.Listen, t.Admin = e.Text("name"), e.Text("listen"), e.Text("admin")
+	t.Name, t.Listen, t.Admin, t.State = e.Text("name"), e.Text("listen"), e.Text("admin"), e.Text("state")
 	t.Figures.Me, t.Figures.Fronts, t.Figures.Seed = e.Int("me"), max(e.Int("fronts"), 1), uint64(e.Number("seed"))
 	t.Figures.Zone = t.Zone(s, e)
 	if t.Realm = e.Text("realm"); strings.ContainsAny(t.Realm, "\"\\\r\n") {
--- a/internal/settings/script.go
+++ b/internal/settings/script.go
@@ -122,19 +122,22 @@
 	mostEntries  = 20000    // calls in all
 )
 
-// ReadFile reads a script from a file. The error is the file's; mistakes are in the sheet.
-func ReadFile(file string, forms []Form) (*Sheet, error) {
+// ReadFile reads a script from a file for an instance. The error is the file's; mistakes are in the sheet.
+func ReadFile(file string, forms []Form, instance int) (*Sheet, error) {
 	src, err := os.ReadFile(file)
 	if err != nil {
 		return nil, fmt.Errorf("reading settings: %w", err)
 	}
-	return Read(file, src, forms), nil
+	return read(file, src, forms, instance), nil
 }
 
 // Read runs a script and takes the calls that its forms allow.
-func Read(file string, src []byte, forms []Form) *Sheet {
+func Read(file string, src []byte, forms []Form) *Sheet { return read(file, src, forms, 0) }
+
+// read is Read for one of many instances of one script, which knows its number by the name instance.
+func read(file string, src []byte, forms []Form, instance int) *Sheet {
 	s := &Sheet{File: file, entries: map[string][]Entry{}}
-	known, count := starlark.StringDict{}, 0
+	known, count := starlark.StringDict{"instance": starlark.MakeInt(instance)}, 0
 	for _, f := range forms {
 		known[f.Name] = starlark.NewBuiltin(f.Name, func(t *starlark.Thread, _ *starlark.Builtin, args starlark.Tuple, kw []starlark.Tuple) (starlark.Value, error) {
 			line := int(t.CallFrame(1).Pos.Line)
--- a/internal/settings/terms.go
+++ b/internal/settings/terms.go
@@ -14,6 +14,7 @@
 	Listen string // address for viewers
 	TLS    Pair   // for viewers that come over TLS; an empty Listen is none
 	BoxTLS Trust  // of boxes, which are then reached over TLS; empty Roots is none
+	State  string // folder that must exist, in which the instance has its own; empty keeps nothing
 	Admin  string // address for health and metrics; empty is none
 
 	Figures  choice.StartFigures // Seed 0 is drawn at start
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -69,11 +69,40 @@
 	}
 	// The number is a help to people only; the lock itself is the kernel's.
 	l.Truncate(0)
-	fmt.Fprintln(l, os.Getpid())
+	l.WriteAt(fmt.Appendln(nil, os.Getpid()), 0)
 	f.lock = l
 	return f, nil
 }
 
+// PathOf is where a file of an instance's is, whose folder may be another process's.
+func PathOf(parent, instance, name string) string { return filepath.Join(parent, instance, name) }
+
+// Adopt takes over a folder with the lock that another process holds and sent along: both hold it until one closes it.
+func Adopt(parent, instance string, lock *os.File) (*Folder, error) {
+	if lock == nil {
+		return nil, errors.New("no lock came with the sockets")
+	}
+	fd, err := syscall.Dup(int(lock.Fd()))
+	if err != nil {
+		return nil, err
+	}
+	syscall.CloseOnExec(fd)
+	f := &Folder{path: filepath.Join(parent, instance), lock: os.NewFile(uintptr(fd), "lock")}
+	f.lock.Truncate(0)
+	f.lock.WriteAt(fmt.Appendln(nil, os.Getpid()), 0)
+	return f, nil
+}
+
+// Lock is the folder's lock as a file to be sent to another process.
+func (f *Folder) Lock() (*os.File, error) {
+	fd, err := syscall.Dup(int(f.lock.Fd()))
+	if err != nil {
+		return nil, err
+	}
+	syscall.CloseOnExec(fd)
+	return os.NewFile(uintptr(fd), "lock"), nil
+}
+
 // Path is where a file of the instance's is.
 func (f *Folder) Path(name string) string { return filepath.Join(f.path, name) }
 
