Answer why: ctl asks a running front by gRPC, and decisions are kept in words

Change: choice/account keeps the last 2,048 decisions with the module's own figures (Front.Standing) and puts them into words; internal/control answers by gRPC over a socket in the instance's folder; rainhaven ctl asks.

--- /dev/null
+++ b/choice/account/account.go
@@ -0,0 +1,191 @@
+// Package account keeps the last decisions of a front and puts them into words: why a session got its box and rung, or was
+// turned away. It does no I/O.
+package account
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"rainhaven/choice"
+)
+
+// Act is what was decided, or what came of it.
+type Act int
+
+// The acts.
+const (
+	Asked Act = iota + 1
+	Setup
+	SetupOver
+	Rung
+	RungRefused
+	Busy
+	TornDown
+	Ended
+)
+
+// Entry is one decision or outcome.
+type Entry struct {
+	At       float64
+	Sess     choice.SessID
+	Act      Act
+	Box      choice.ServerID
+	Rung     int
+	Seconds  float64 // a SETUP's wait, a busy reply's advice
+	Outcome  choice.Outcome
+	Word     string          // of an end
+	Standing choice.Standing // at a SETUP and at an answer; holders by most room, mostHolders of them
+	Holders  int             // in all
+}
+
+const (
+	// Decisions kept: a minute or more of a front that sets up ten sessions a second, in about 1 MB.
+	most = 2048
+	// Holders kept of each, those with most room first: the choice fell among them.
+	mostHolders = 6
+)
+
+// Ring keeps the last decisions; older ones give way.
+type Ring struct {
+	list []Entry
+	next int
+}
+
+// Note keeps one.
+func (r *Ring) Note(e Entry) {
+	e.Holders = len(e.Standing.Holders)
+	slices.SortStableFunc(e.Standing.Holders, func(a, b choice.View) int {
+		switch {
+		case a.Room > b.Room:
+			return -1
+		case a.Room < b.Room:
+			return 1
+		}
+		return 0
+	})
+	e.Standing.Holders = slices.Clone(e.Standing.Holders[:min(len(e.Standing.Holders), mostHolders)])
+	if len(r.list) < most {
+		r.list = append(r.list, e)
+		return
+	}
+	r.list[r.next] = e
+	r.next = (r.next + 1) % most
+}
+
+// Of gives what is kept of a session, oldest first.
+func (r *Ring) Of(id choice.SessID) (list []Entry) {
+	for i := range r.list {
+		if e := r.list[(r.next+i)%len(r.list)]; e.Sess == id {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// Turned gives the session that was turned away last; empty where none is kept.
+func (r *Ring) Turned() choice.SessID {
+	for i := len(r.list) - 1; i >= 0; i-- {
+		if e := r.list[(r.next+i)%len(r.list)]; e.Act == Busy || e.Act == TornDown {
+			return e.Sess
+		}
+	}
+	return ""
+}
+
+var outcomes = map[choice.Outcome]string{choice.Served: "served", choice.ServerError: "the box failed; it may have run", choice.Full: "the box is full; it never ran",
+	choice.TimedOut: "no answer within its wait; it may have run", choice.NoConnection: "no connection; it never ran", choice.Reset: "the connection broke; it may have run",
+	choice.Cancelled: "given up", choice.Unsent: "not sent, the box left the list"}
+
+// Say puts a session's entries into words, a line each, instants from the first one on.
+func Say(list []Entry) (lines []string) {
+	for _, e := range list {
+		lines = append(lines, fmt.Sprintf("%+.3f s  %s", e.At-list[0].At, e.words()))
+	}
+	return lines
+}
+
+func (e Entry) words() string {
+	switch e.Act {
+	case Asked:
+		return fmt.Sprintf("asked for; rung %d at most by its viewer", e.Rung)
+	case Setup:
+		return fmt.Sprintf("SETUP to box %d at rung %d, waited for %.2f s; %s", e.Box, e.Rung, e.Seconds, e.holders())
+	case SetupOver:
+		return fmt.Sprintf("SETUP to box %d: %s", e.Box, outcomes[e.Outcome])
+	case Rung:
+		return fmt.Sprintf("to rung %d, as demand over the target is now %s", e.Rung, e.pressure())
+	case RungRefused:
+		return fmt.Sprintf("the box did not make the change; rung %d stays", e.Rung)
+	case Busy:
+		return fmt.Sprintf("busy-replied, to come back in %.0f s: %s; %s", e.Seconds, e.why(), e.holders())
+	case TornDown:
+		return "torn down: a SETUP may have run, and its group's are not repeated; " + e.holders()
+	case Ended:
+		return "over: " + e.Word
+	}
+	return "unknown"
+}
+
+// pressure is that of the session's own box.
+func (e Entry) pressure() string {
+	for _, v := range e.Standing.Holders {
+		if v.Box == e.Box {
+			return fmt.Sprintf("%.2f on its link and %.2f on its uplink", v.Link, v.Uplink)
+		}
+	}
+	return "not kept"
+}
+
+// why names the first cause that turned the session away, in the order in which the module looks.
+func (e Entry) why() string {
+	s := e.Standing
+	free := 0
+	for _, v := range s.Holders {
+		if v.State == choice.Ready && !v.Aside && !v.Full && !v.Waits && !v.Tried {
+			free++
+		}
+	}
+	switch {
+	case s.Seats:
+		return "all seats of its title are taken"
+	case s.Sent > 0 && s.Spent:
+		return "the ration of further SETUPs is spent"
+	case e.Holders == 0:
+		return "no box of the list holds its title"
+	case free == 0:
+		return "no holder may get it"
+	case s.Sent > 0:
+		return "its SETUPs or its time are used up"
+	}
+	return "holders that may get it are past twice their target"
+}
+
+// holders counts what stands against holders and names those with most room.
+func (e Entry) holders() string {
+	var not []string
+	count := func(what string, is func(v choice.View) bool) {
+		n := 0
+		for _, v := range e.Standing.Holders {
+			if is(v) {
+				n++
+			}
+		}
+		if n > 0 {
+			not = append(not, fmt.Sprintf("%d %s", n, what))
+		}
+	}
+	count("draining or gone", func(v choice.View) bool { return v.State != choice.Ready })
+	count("set aside", func(v choice.View) bool { return v.Aside })
+	count("full", func(v choice.View) bool { return v.Full })
+	count("cold, in another front's turn", func(v choice.View) bool { return v.Waits })
+	count("tried", func(v choice.View) bool { return v.Tried })
+	s := fmt.Sprintf("%d holders", e.Holders)
+	if len(not) > 0 {
+		s += " (" + strings.Join(not, ", ") + ")"
+	}
+	for i, v := range e.Standing.Holders[:min(len(e.Standing.Holders), 3)] {
+		s += fmt.Sprintf("%s box %d has room for %.0f kB/s at %.2f/%.2f of its targets", [...]string{":", ",", ","}[i], v.Box, v.Room, v.Link, v.Uplink)
+	}
+	return s
+}
--- a/choice/session/session_test.go
+++ b/choice/session/session_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -609,3 +610,88 @@
 		delete(w.viewers, id)
 	}
 }
+
+// Each line tells what was decided and the cause that stood in the way.
+func TestDecisionsInWords(t *testing.T) {
+	w := newWorld(t)
+	served := w.ask(1, "vents")
+	w.pass(0.3)
+	w.box(served, 1, 453, true)
+	w.box(served, 2, 200, true)
+	l := w.t.lives[served]
+	w.do(func() { acts{w.t}.Rung(served, l.rung-1) })
+	w.do(func() { w.t.OpAnswered(served, 1, SetRung, l.rung-1, 200, choice.Report{Link: -1, Uplink: -1}) })
+	paid := w.ask(0, "exam")
+	w.pass(0.3)
+	w.box(paid, 1, 500, true)
+	for id := choice.ServerID(10); id < 14; id++ {
+		w.state[id] = choice.Draining
+		w.do(func() { w.t.Directory(false, []choice.Listing{{ID: id, Cell: int(id) - 10, State: choice.Draining}}) })
+	}
+	busy := w.ask(1, "vents")
+	for id, want := range map[choice.SessID][]string{
+		served: {"asked for", "SETUP to box", "is full; it never ran", "SETUP to box", "to rung"},
+		paid:   {"asked for", "SETUP to box", "may have run", "torn down"},
+		busy:   {"asked for", "no holder may get it; 4 holders (4 draining or gone"},
+		"":     {"asked for", "no holder may get it"},
+		"none": {},
+	} {
+		lines := w.t.Explain(id)
+		if len(lines) != len(want) {
+			t.Errorf("%s: %q", id, lines)
+			continue
+		}
+		for i, l := range lines {
+			if !strings.Contains(l, want[i]) {
+				t.Errorf("%s: line %d is %q, %q is looked for", id, i, l, want[i])
+			}
+		}
+	}
+	w.rest()
+}
+
+// deaf is a world that hears nothing of operations and probes.
+type deaf struct{ *world }
+
+func (deaf) Do(choice.SessID, int, Op, int) {}
+func (deaf) Probe(choice.ServerID)          {}
+
+// large is a table with a thousand playing sessions on 300 boxes, and its terms.
+func large(b *testing.B) (*world, Terms, []choice.Listing) {
+	w := newWorld(b)
+	fig, bounds := figures()
+	fig.Cells, fig.Racks, fig.FleetLinks, fig.UplinkMean, bounds.Sessions = 300, 20, 300*20000, 15*20000, 2000
+	var list []choice.Listing
+	for i := range fig.Cells {
+		list = append(list, choice.Listing{ID: choice.ServerID(100 + i), Cell: i, State: choice.Ready, Heft: 1})
+		w.state[choice.ServerID(100+i)] = choice.Ready
+	}
+	w.t = New(w.now, fig, bounds, deaf{w})
+	w.do(func() { w.t.Directory(true, list) })
+	for i := range 1000 {
+		id := choice.SessID(fmt.Sprintf("p%04d", i))
+		w.do(func() {
+			w.t.Adopt(id, Ask{Group: 1, Title: "vents", StartCell: i % 300, Span: 4, BestRung: 3}, choice.ServerID(100+i%300), 1)
+		})
+	}
+	return w, Terms{fig, bounds, []int{0, 1}}, list
+}
+
+// BenchmarkRenew is how long a reload holds the loop up.
+func BenchmarkRenew(b *testing.B) {
+	w, terms, list := large(b)
+	for b.Loop() {
+		w.now++
+		w.t.At(w.now)
+		w.t.Renew(terms, list, func(m choice.Memory) choice.Memory { return m })
+		w.t.Settle()
+	}
+}
+
+// BenchmarkMemory is how long keeping state holds the loop up.
+func BenchmarkMemory(b *testing.B) {
+	w, _, _ := large(b)
+	for b.Loop() {
+		w.t.Memory()
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -201,3 +201,42 @@
 		f.uplinks[i].recall(r)
 	}
 }
+
+// Standing is how a front sees a session that it decides on, for people who ask why.
+type Standing struct {
+	Sent    int  // SETUPs so far
+	Seats   bool // all seats of its title are taken
+	Spent   bool // the ration allows no further SETUP
+	MayRan  bool // an earlier SETUP may have run
+	Holders []View
+}
+
+// View is how a front sees one holder of a session's title.
+type View struct {
+	Box          ServerID
+	State        Lifecycle
+	Aside        bool    // gets nothing until it answers probes
+	Full         bool    // said so within the last second
+	Waits        bool    // cold, and the slot is not this front's or is used
+	Tried        bool    // by this session already
+	Room         float64 // kB a second left under the target of its link or uplink, the tighter one
+	Link, Uplink float64 // demand over target
+}
+
+// Standing tells how the front sees a session and the holders of its title now; ok is false where it knows of none.
+func (f *Front) Standing(id SessID) (st Standing, ok bool) {
+	s := f.sess[id]
+	if s == nil {
+		return st, false
+	}
+	st = Standing{Sent: s.sent, Seats: s.group.Seats > 0 && f.seats[s.seat] >= s.group.Seats, Spent: !f.ration(), MayRan: s.mayRan}
+	for _, sv := range f.servers {
+		if (sv.cell-s.start+f.cells)%f.cells >= s.span {
+			continue
+		}
+		_, a := f.pressure(sv.link, sv, s, 0)
+		_, u := f.pressure(sv.uplink, sv, s, 0)
+		st.Holders = append(st.Holders, View{sv.id, sv.state, sv.aside, f.now < sv.full, !f.open(sv), slices.Contains(s.tried, sv), f.room(sv), a, u})
+	}
+	return st, true
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -259,6 +259,7 @@
 	}
 	if d.folder != nil {
 		d.work.Go(d.keep)
+		d.control()
 		if x, err := d.folder.Lock(); err == nil {
 			d.sockets = append(d.sockets, given{forLock, x})
 		}
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -18,6 +18,7 @@
 
 	"rainhaven/choice/health"
 	"rainhaven/choice/lifecycle"
+	"rainhaven/internal/control"
 	"rainhaven/internal/lab/box"
 	"rainhaven/internal/lab/player"
 	"rainhaven/internal/settings"
@@ -439,3 +440,53 @@
 	p.signals <- syscall.SIGTERM
 	p.end(lifecycle.Clean)
 }
+
+// People ask a front over its socket: what it holds, why a session is where it is, and have it read its settings and drain.
+func TestControl(t *testing.T) {
+	list := boxes(t, 2)
+	dir := t.TempDir()
+	file := filepath.Join(dir, "front.star")
+	script(t, file, fmt.Sprintf(", state = %q", dir), "", list)
+	p := run(t, file)
+	ask := func(method string, in map[string]any) map[string]any {
+		t.Helper()
+		out, err := control.Ask(context.Background(), filepath.Join(dir, "f", ControlSocket), method, in)
+		if err != nil {
+			t.Fatal(method, err)
+		}
+		return out
+	}
+	done := make(chan error, 1)
+	go func() {
+		_, err := p.watch(3)
+		done <- err
+	}()
+	var id string
+	for end := time.Now().Add(10 * time.Second); id == ""; {
+		if l, _ := ask("Sessions", nil)["sessions"].([]any); len(l) == 1 && l[0].(map[string]any)["playing"] == true {
+			id = l[0].(map[string]any)["id"].(string)
+		} else if time.Now().After(end) {
+			t.Fatal("the session is not listed")
+		}
+	}
+	if l := fmt.Sprint(ask("Explain", map[string]any{"session": id})["lines"]); !strings.Contains(l, "SETUP to box") || !strings.Contains(l, "2 holders") {
+		t.Error(l)
+	}
+	if _, err := control.Ask(context.Background(), filepath.Join(dir, "f", ControlSocket), "Explain", map[string]any{"session": "none"}); err == nil || !strings.Contains(err.Error(), "nothing is kept") {
+		t.Error(err)
+	}
+	if s := ask("Status", nil); s["front"] != "f" || s["state"] != "serving" || s["sessions"] != 1.0 {
+		t.Error(s)
+	}
+	if l, _ := ask("Boxes", nil)["boxes"].([]any); len(l) != 2 {
+		t.Error(l)
+	}
+	script(t, file, fmt.Sprintf(", state = %q", dir), "group(", list)
+	ask("Reload", nil)
+	p.eventually("the reload is refused", func(w health.Word) bool { return len(w.Degraded) == 1 })
+	ask("Drain", nil)
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	p.end(lifecycle.Clean)
+}
