--- a/internal/lab/day/day_test.go
+++ b/internal/lab/day/day_test.go
@@ -41,6 +41,8 @@
 cut_zone(at = 5, zone = "a", length = 0.6)
 errors(at = 5, box = 6, count = 3)
 restart_front(at = 4, front = 1, length = 0.3)
+reload_front(at = 2.5, front = 0)
+reload_front(at = 5.5, front = 1)
 `
 
 func play(t *testing.T, s Sabotage) *Report {
@@ -48,7 +50,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r, err := Run(context.Background(), d, Options{Sabotage: s})
+	r, err := Run(context.Background(), d, Options{Sabotage: s, Remember: s == None})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/day/run.go
+++ b/internal/lab/day/run.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"rainhaven/choice"
+	"rainhaven/choice/recall"
 	"rainhaven/internal/front"
 	"rainhaven/internal/lab/box"
 	"rainhaven/internal/lab/player"
@@ -24,6 +25,7 @@
 // run is one day under way.
 type run struct {
 	d      *Day
+	o      Options
 	ctx    context.Context
 	log    *zap.Logger
 	base   float64 // seconds since 1970 at start
@@ -41,18 +43,20 @@
 	list     []settings.Box // as the source knows it
 	cut      map[int]bool   // zones cut off
 	seen     []outcome
-	refusing map[int]bool // boxes that answer full
+	refusing map[int]bool          // boxes that answer full
+	kept     map[int]recall.Stored // of fronts that were killed, where they remember; one each
 
 	work sync.WaitGroup // list words under way
 }
 
 // place is where a front runs: its address stays while fronts come and go.
 type place struct {
-	i    int
-	addr string
-	f    *front.Front
-	done chan error
-	gen  int
+	i       int
+	addr    string
+	f       *front.Front
+	done    chan error
+	gen     int
+	reloads int // of this process
 }
 
 type outcome struct {
@@ -71,6 +75,7 @@
 	Log      *zap.Logger
 	Sabotage Sabotage
 	Tell     func(at float64, what string) // troubles as they happen; may be nil
+	Remember bool                          // fronts that are started again know what they had stored; their ration's window goes on
 }
 
 // Run plays a day and reports. The error tells what kept it from being played; broken rules are in the report.
@@ -82,8 +87,8 @@
 		o.Tell = func(float64, string) {}
 	}
 	start := time.Now()
-	r := &run{d: d, ctx: ctx, log: o.Log, base: float64(start.UnixNano()) / 1e9, start: start, spoil: o.Sabotage,
-		boxes: map[int]*box.Box{}, stands: map[int]stand{}, cut: map[int]bool{}, refusing: map[int]bool{}, rand: rand.New(rand.NewPCG(d.Seed, 2))}
+	r := &run{d: d, ctx: ctx, log: o.Log, base: float64(start.UnixNano()) / 1e9, start: start, spoil: o.Sabotage, o: o,
+		kept: map[int]recall.Stored{}, boxes: map[int]*box.Box{}, stands: map[int]stand{}, cut: map[int]bool{}, refusing: map[int]bool{}, rand: rand.New(rand.NewPCG(d.Seed, 2))}
 	f := &d.Terms.Figures
 	terms := witness.Terms{Groups: map[string]witness.Group{}, Grace: d.Terms.Grace, AnswerBy: 0.04, WarmUp: f.WarmUp, ColdShare: f.ColdShare,
 		FallFactor: f.FallFactor, FallTime: f.FallTime, Spare: f.SpareSetups, Share: f.SetupShare, Window: f.SetupWindow}
@@ -137,8 +142,8 @@
 	return nil
 }
 
-// begin starts a front, at its address where it had one.
-func (r *run) begin(i int, addr string) error {
+// termsOf are one front's terms as the list stands now.
+func (r *run) termsOf(i int) settings.Terms {
 	terms := r.d.Terms
 	terms.Name, terms.Figures.Me = frontName(i), i
 	// Zones take turns, so that each has its fronts.
@@ -147,6 +152,12 @@
 	r.mu.Lock()
 	terms.Boxes = slices.Clone(r.list)
 	r.mu.Unlock()
+	return terms
+}
+
+// begin starts a front, at its address where it had one.
+func (r *run) begin(i int, addr string) error {
+	terms := r.termsOf(i)
 	if addr == "" {
 		addr = "127.0.0.1:0"
 	}
@@ -156,12 +167,19 @@
 	}
 	zone := terms.Figures.Zone
 	r.spoil.terms(&terms)
-	r.wit.FrontStarted(terms.Name, r.now())
+	o := front.Options{Log: r.log, Spoil: r.spoil.orders(r),
+		Dial: func(ctx context.Context, address string) (net.Conn, error) { return r.dial(ctx, zone, address) }}
+	if kept, ok := r.kept[i]; ok {
+		x := terms.Figures
+		m, _ := recall.Believe(r.now(), kept, recall.Terms{Window: x.SetupWindow, Spare: x.SpareSetups, Share: x.SetupShare, WarmUp: x.WarmUp})
+		o.Memory = &m
+	} else {
+		r.wit.FrontStarted(terms.Name, r.now())
+	}
 	for _, b := range terms.Boxes {
 		r.wit.Told(terms.Name, int(b.ID), b.State == choice.Ready, r.now())
 	}
-	f, err := front.New(terms, front.Options{Log: r.log, Spoil: r.spoil.orders(r),
-		Dial: func(ctx context.Context, address string) (net.Conn, error) { return r.dial(ctx, zone, address) }})
+	f, err := front.New(terms, o)
 	if err != nil {
 		l.Close()
 		return err
@@ -467,14 +485,43 @@
 					r.log.Error("a front did not come back", zap.Error(err))
 				}
 			}}}
+	case "reload_front":
+		i := h.e.Int("front")
+		return []step{{h.at, frontName(i) + " takes new settings", func() { r.reload(i) }}}
 	}
 	return nil // a crowd is in the arrivals
 }
 
+// reload has a front take new settings. What rules count stays the same: the wait after a busy reply and the limits change.
+func (r *run) reload(i int) {
+	r.mu.Lock()
+	p := r.fronts[i]
+	r.mu.Unlock()
+	terms := r.termsOf(i)
+	r.spoil.terms(&terms)
+	p.reloads++ // the script's own goroutine alone
+	terms.Figures.Advice += float64(p.reloads%2) / 2
+	terms.Bounds.Sessions += p.reloads % 2
+	plan, err := p.f.Renew(terms)
+	if err != nil || len(plan.Refused) > 0 {
+		r.log.Info("a reload was not taken", zap.Strings("why", plan.Refused), zap.Error(err))
+	}
+	// A word on the list that came while it was read must not be undone by it.
+	r.mu.Lock()
+	list := slices.Clone(r.list)
+	r.mu.Unlock()
+	p.f.Boxes(true, list)
+}
+
 func (r *run) kill(i int) {
 	r.mu.Lock()
 	p := r.fronts[i]
 	r.mu.Unlock()
+	if r.o.Remember {
+		if m, ok := p.f.Memory(); ok {
+			r.kept[i] = recall.Stored{Saved: r.now(), Memory: m}
+		}
+	}
 	r.wit.FrontKilled(frontName(i), r.now())
 	p.f.Kill()
 	<-p.done
--- a/internal/lab/day/script.go
+++ b/internal/lab/day/script.go
@@ -61,10 +61,13 @@
 	trouble("cut_zone", "a zone's boxes can't be reached from elsewhere", lasts,
 		settings.Field{Name: "zone", Kind: settings.Text, Needed: true, Doc: "its name"}),
 	trouble("restart_front", "a front is killed and started again",
-		settings.Field{Name: "front", Kind: settings.Whole, Needed: true, Doc: "its number"}, lasts),
+		theFront, lasts),
+	trouble("reload_front", "a front takes new settings in service: another wait until turned-away viewers come back, other limits", theFront),
 }, settings.Common)
 
 var (
+	theFront = settings.Field{Name: "front", Kind: settings.Whole, Needed: true, Doc: "its number"}
+
 	theBox = settings.Field{Name: "box", Kind: settings.Whole, Needed: true, Doc: "the box's number"}
 	lasts  = settings.Field{Name: "length", Kind: settings.Number, Needed: true, Doc: "seconds that it lasts"}
 	times  = settings.Field{Name: "times", Kind: settings.Number, Needed: true, Min: 0.1, Max: 1000, Doc: "by how much"}
@@ -78,7 +81,7 @@
 
 // troubles are the forms that are troubles.
 var troubles = []string{"crowd", "hang", "hold", "silent", "slow", "foreign", "short_rack", "refuse", "errors", "ageing", "drain",
-	"kill", "late_reports", "cut_zone", "restart_front"}
+	"kill", "late_reports", "cut_zone", "restart_front", "reload_front"}
 
 // Day is a script that was read.
 type Day struct {
@@ -165,7 +168,7 @@
 			switch {
 			case e.Has("box") && !known[e.Int("box")]:
 				s.Wrong(e.Line, "%s: there is no box %d", what, e.Int("box"))
-			case what == "restart_front" && e.Int("front") >= d.Fronts:
+			case e.Has("front") && e.Int("front") >= d.Fronts:
 				s.Wrong(e.Line, "%s: there is no front %d; 0 to %d would be right", what, e.Int("front"), d.Fronts-1)
 			case what == "short_rack" && e.Int("rack") >= d.Terms.Figures.Racks:
 				s.Wrong(e.Line, "%s: there is no rack %d; 0 to %d would be right", what, e.Int("rack"), d.Terms.Figures.Racks-1)
--- a/internal/lab/day/storm.go
+++ b/internal/lab/day/storm.go
@@ -30,7 +30,7 @@
     title(name = "t%%d" %% i, start_cell = i, span = 6, wanted = 1.0 / (1 + i))
 viewers(rate = %g, watch = [0.3, 1.2], pause = [0.2, 0.6], hasty = 0.15, rude = 0.1)
 `, length, seed, rate)
-	kinds := []string{"hang", "hold", "slow", "refuse", "errors", "silent", "kill", "drain", "short_rack", "cut_zone", "late_reports", "restart_front"}
+	kinds := []string{"hang", "hold", "slow", "refuse", "errors", "silent", "kill", "drain", "short_rack", "cut_zone", "late_reports", "restart_front", "reload_front"}
 	drained, busy := 0, map[string]float64{}
 	for at := 0.5; at < length-2; at += 0.5 + r.Float64() {
 		kind, box, lasts := kinds[r.IntN(len(kinds))], 1+r.IntN(12), 0.3+2*r.Float64()
@@ -43,7 +43,7 @@
 			lasts = 1 + r.Float64()
 		case "short_rack", "cut_zone", "late_reports":
 			subject = kind
-		case "restart_front":
+		case "restart_front", "reload_front":
 			subject = fmt.Sprint("front ", box%3)
 		}
 		if busy[subject] > at {
@@ -64,6 +64,8 @@
 			fmt.Fprintf(&b, ", zone = %q, length = %.2f)\n", [2]string{"a", "b"}[r.IntN(2)], min(lasts, 1))
 		case "late_reports":
 			fmt.Fprintf(&b, ", by = %.1f, length = %.2f)\n", 1+3*r.Float64(), lasts)
+		case "reload_front":
+			fmt.Fprintf(&b, ", front = %d)\n", box%3)
 		case "restart_front":
 			fmt.Fprintf(&b, ", front = %d, length = %.2f)\n", box%3, min(lasts, 0.5))
 		default:
