--- a/choice/renewal/renewal.go
+++ b/choice/renewal/renewal.go
@@ -45,6 +45,7 @@
 	{"front(zone)", Restart, "a front stands where its process runs"},
 	{"front(state)", Restart, "the folder is locked as long as the process lives"},
 	{"front(seed)", Fresh, ""},
+	{"front(log)", Fresh, ""},
 	{"front(redirect)", Fresh, ""},
 	{"front(realm) and user", Users, ""},
 	{"box_tls", Restart, "other contents of the same file are taken by themselves"},
--- a/cmd/rainhaven/lab.go
+++ b/cmd/rainhaven/lab.go
@@ -169,7 +169,7 @@
 }
 
 func measureCommand() *cobra.Command {
-	var asJSON, overTLS bool
+	var asJSON, overTLS, reloads bool
 	var against string
 	o := measure.Options{}
 	c := &cobra.Command{Use: "measure", Short: "Compare viewers through a front with the same ones straight at the boxes",
@@ -186,6 +186,9 @@
 			if overTLS {
 				o.Builds = append(o.Builds, measure.Build{Name: "this, TLS", Program: self, TLS: true})
 			}
+			if reloads {
+				o.Builds = append(o.Builds, measure.Build{Name: "reloading", Program: self, Reloads: true})
+			}
 			if o.Setups < 1 || o.Reps < 1 || o.Seconds <= 0 || len(o.Sessions) == 0 || slices.Min(o.Sessions) < 1 {
 				return fmt.Errorf("--sessions, --setups, --reps and --seconds must be above 0")
 			}
@@ -205,6 +208,7 @@
 	c.Flags().IntVar(&o.Reps, "reps", 5, "transfers at full speed, each way in turns")
 	c.Flags().Float64Var(&o.Seconds, "seconds", 1, "length of a transfer")
 	c.Flags().StringVar(&against, "against", "", "another build of rainhaven, measured in turns with this one")
+	c.Flags().BoolVar(&reloads, "reloads", false, "measure a front that takes new settings each second, too")
 	c.Flags().BoolVar(&overTLS, "tls", false, "measure viewers over TLS too")
 	c.Flags().BoolVar(&asJSON, "json", false, "the rows as JSON")
 	return c
@@ -212,6 +216,7 @@
 
 func stormCommand() *cobra.Command {
 	var requests, seeds int
+	var remember bool
 	var first uint64
 	var rate float64
 	c := &cobra.Command{Use: "storm", Short: "Play drawn days of faults on both sides, seed after seed, and judge the rules",
@@ -226,7 +231,7 @@
 				if err != nil {
 					return failure{exitFailed, err}
 				}
-				r, err := day.Run(c.Context(), d, day.Options{})
+				r, err := day.Run(c.Context(), d, day.Options{Remember: remember})
 				if err != nil {
 					return failure{exitFailed, err}
 				}
@@ -246,6 +251,7 @@
 	c.Flags().IntVar(&requests, "requests", 2000, "first requests of viewers, about")
 	c.Flags().IntVar(&seeds, "seeds", 1, "how many days")
 	c.Flags().Uint64Var(&first, "first", 1, "the first seed")
+	c.Flags().BoolVar(&remember, "remember", false, "fronts that are killed know on their return what they had stored")
 	c.Flags().Float64Var(&rate, "rate", 100, "requests a second")
 	return c
 }
--- a/cmd/rainhaven/main.go
+++ b/cmd/rainhaven/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -82,9 +83,15 @@
 
 // logger writes structured logs to stderr; lines of one kind are sampled past the first hundred a second.
 func logger(level, format string) (*zap.Logger, error) {
+	log, _, err := leveled(level, format)
+	return log, err
+}
+
+// leveled is a logger whose least level can be set by name; an empty one is that it began with.
+func leveled(level, format string) (*zap.Logger, func(string), error) {
 	l, err := zapcore.ParseLevel(level)
 	if err != nil {
-		return nil, fmt.Errorf("--log %q: debug, info, warn or error would be right", level)
+		return nil, nil, fmt.Errorf("--log %q: debug, info, warn or error would be right", level)
 	}
 	enc := zap.NewProductionEncoderConfig()
 	enc.EncodeTime = zapcore.RFC3339NanoTimeEncoder
@@ -95,10 +102,16 @@
 	case "console":
 		e = zapcore.NewConsoleEncoder(enc)
 	default:
-		return nil, fmt.Errorf("--log-format %q: json or console would be right", format)
+		return nil, nil, fmt.Errorf("--log-format %q: json or console would be right", format)
+	}
+	least := zap.NewAtomicLevelAt(l)
+	set := func(name string) {
+		if n, err := zapcore.ParseLevel(cmp.Or(name, level)); err == nil {
+			least.SetLevel(n)
+		}
 	}
-	core := zapcore.NewCore(e, zapcore.Lock(os.Stderr), l)
-	return zap.New(zapcore.NewSamplerWithOptions(core, 1e9, 100, 100)), nil
+	core := zapcore.NewCore(e, zapcore.Lock(os.Stderr), least)
+	return zap.New(zapcore.NewSamplerWithOptions(core, 1e9, 100, 100)), set, nil
 }
 
 func logFlags(c *cobra.Command, level, format *string) {
--- a/cmd/rainhaven/serve.go
+++ b/cmd/rainhaven/serve.go
@@ -32,7 +32,7 @@
 		Example: "  rainhaven front --config examples/front.star\n  rainhaven front --config examples/front.star --log debug --log-format console",
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			log, err := logger(level, format)
+			log, set, err := leveled(level, format)
 			if err != nil {
 				return err
 			}
@@ -45,7 +45,7 @@
 				owner = os.Stdin
 			}
 			code, err := daemon.Run(daemon.Options{Read: func() (settings.Terms, error) { return settings.ReadInstance(config, instance) }, Drain: drain,
-				Log: log, Signals: signals, Owner: owner, Upgrade: upgrade})
+				Log: log, Level: set, Signals: signals, Owner: owner, Upgrade: upgrade})
 			var wrong settings.Mistakes
 			if err == nil || errors.As(err, &wrong) {
 				return err
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -37,6 +37,7 @@
 	Read    func() (settings.Terms, error) // the settings, checked; called at the start and at each reload
 	Drain   time.Duration                  // sessions may play on so long once the process is told to stop
 	Log     *zap.Logger
+	Level   func(name string) // sets the log's least level, an empty name the one it began with; may be nil
 	Signals <-chan os.Signal
 	Upgrade bool                       // take the sockets of the process of this name that runs, which drains then
 	Owner   io.Reader                  // ends when whoever started the process is gone: it drains then; may be nil
@@ -162,6 +163,7 @@
 		return lifecycle.Failed, err
 	}
 	t := &d.terms
+	d.level(t)
 	reg := prometheus.NewRegistry()
 	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	o := front.Options{Log: d.Log, Registry: reg}
@@ -394,7 +396,9 @@
 		} else if plan, err := d.front.Renew(t); err != nil {
 			refused = err.Error()
 		} else {
-			refused = strings.Join(plan.Refused, "; ")
+			if refused = strings.Join(plan.Refused, "; "); refused == "" {
+				d.level(&t)
+			}
 		}
 		if refused != "" {
 			d.Log.Error("settings refused; the old ones stay in force", zap.String("why", refused))
@@ -403,6 +407,12 @@
 	})
 }
 
+func (d *daemon) level(t *settings.Terms) {
+	if d.Level != nil {
+		d.Level(t.Log)
+	}
+}
+
 // Drain implements lifecycle.Orders.
 func (d *daemon) Drain() {
 	d.Log.Info("draining", zap.Int("sessions", d.front.Sessions()), zap.Duration("at most", d.Options.Drain))
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -72,12 +72,14 @@
 	}
 }
 
-func run(t *testing.T, file string) *process {
+func run(t *testing.T, file string) *process { return begin(t, file, false) }
+
+func begin(t *testing.T, file string, upgrade bool) *process {
 	p := &process{t: t, file: file, signals: make(chan os.Signal, 4), code: make(chan lifecycle.Code, 1)}
 	up := make(chan struct{})
 	go func() {
 		code, err := Run(Options{Read: func() (settings.Terms, error) { return settings.ReadTerms(file) }, Drain: 20 * time.Second, Signals: p.signals,
-			Up: func(listen, admin string) {
+			Upgrade: upgrade, Up: func(listen, admin string) {
 				p.listen, p.admin = listen, admin
 				close(up)
 			}})
@@ -332,25 +334,7 @@
 		done <- err
 	}()
 	<-playing
-	upgrade := func(file string) *process {
-		p := &process{t: t, file: file, signals: make(chan os.Signal, 4), code: make(chan lifecycle.Code, 1)}
-		up := make(chan struct{})
-		go func() {
-			code, err := Run(Options{Read: func() (settings.Terms, error) { return settings.ReadTerms(file) }, Drain: 20 * time.Second, Signals: p.signals,
-				Upgrade: true, Up: func(listen, admin string) {
-					p.listen, p.admin = listen, admin
-					close(up)
-				}})
-			p.err = err
-			p.code <- code
-		}()
-		select {
-		case <-up:
-		case c := <-p.code:
-			p.code <- c
-		}
-		return p
-	}
+	upgrade := func(file string) *process { return begin(t, file, true) }
 	wrong := filepath.Join(dir, "wrong.star")
 	for _, c := range []struct{ front, more, say string }{
 		{front, "group(", "wrong.star"},
--- a/internal/front/renew.go
+++ b/internal/front/renew.go
@@ -87,6 +87,7 @@
 		{"front(me, fronts)", [2]int{x.Me, x.Fronts}, [2]int{y.Me, y.Fronts}},
 		{"front(zone)", x.Zone, y.Zone},
 		{"front(state)", a.State, b.State},
+		{"front(log)", a.Log, b.Log},
 		{"front(redirect)", a.Redirect, b.Redirect},
 		{"box_tls", a.BoxTLS, b.BoxTLS},
 		{"ladder", x.Ladder, y.Ladder},
--- a/internal/lab/measure/measure.go
+++ b/internal/lab/measure/measure.go
@@ -33,6 +33,7 @@
 type Build struct {
 	Name, Program string
 	TLS           bool
+	Reloads       bool // it is told new settings, over and over, while set-ups are timed
 }
 
 // Options say what is measured.
@@ -55,6 +56,7 @@
 	SettleMean                    float64 // microseconds to settle a batch of events, the module's decisions included
 	DirectMB, FrontMB, Ratio      float64 // transfer at full speed, MB a second, medians over repetitions
 	RatioLow, RatioHigh           float64
+	Renewals                      float64 // new settings taken meanwhile
 	Frames                        float64 // a second, of the playing sessions together
 }
 
@@ -76,6 +78,7 @@
 	cmd        *exec.Cmd
 	way        // for viewers
 	admin, dir string
+	script     string
 }
 
 // way is how viewers come to something.
@@ -103,6 +106,7 @@
 		script += fmt.Sprintf("box(id = %d, cell = %d, address = %q)\n", i+1, i, at)
 	}
 	file := filepath.Join(dir, "front.star")
+	f.script = script
 	if err := os.WriteFile(file, []byte(script), 0o600); err != nil {
 		return nil, err
 	}
@@ -132,6 +136,17 @@
 	return nil, fmt.Errorf("the front said nothing of serving")
 }
 
+// reload has the front take settings that need a new module, a little over a second apart, until the context is done.
+func (f *front) reload(ctx context.Context) {
+	for n := 1; pause(ctx, 1100*time.Millisecond) == nil; n++ {
+		s := strings.Replace(f.script, "setups(window = 0)", fmt.Sprintf("setups(window = 0, advice = %d)", 1+n%2), 1)
+		if os.WriteFile(filepath.Join(f.dir, "front.star"), []byte(s), 0o600) != nil {
+			return
+		}
+		f.cmd.Process.Signal(syscall.SIGHUP)
+	}
+}
+
 func (f *front) stop() {
 	f.cmd.Process.Signal(syscall.SIGTERM)
 	f.cmd.Wait()
@@ -305,6 +320,11 @@
 	count0, _ := f.metric("rainhaven_settle_seconds_count")
 	sum0, _ := f.metric("rainhaven_settle_seconds_sum")
 	mallocs0, _ := f.metric("go_memstats_mallocs_total")
+	if b.Reloads {
+		again, stop := context.WithCancel(ctx)
+		readers.Go(func() { f.reload(again) })
+		defer stop()
+	}
 	direct, through := hdrhistogram.New(1, 10_000_000, 3), hdrhistogram.New(1, 10_000_000, 3)
 	from, was := time.Now(), frames.Load()
 	for i := range o.Setups {
@@ -333,6 +353,7 @@
 	}
 	mallocs, _ := f.metric("go_memstats_mallocs_total")
 	row.Allocations = (mallocs - mallocs0) / float64(o.Setups)
+	row.Renewals, _ = f.metric("rainhaven_renewals_total")
 	heap, _ := f.metric("go_memstats_heap_inuse_bytes")
 	stack, _ := f.metric("go_memstats_stack_inuse_bytes")
 	rss, _ := f.metric("process_resident_memory_bytes")
--- a/internal/settings/read.go
+++ b/internal/settings/read.go
@@ -85,6 +85,7 @@
 		{Name: "redirect", Kind: Text, Doc: "host:port of a front that viewers are sent to while this one drains; empty is none"},
 		{Name: "admin", Kind: Text, Doc: "host:port for health and metrics; empty is none"},
 		{Name: "state", Kind: Text, Doc: "folder that exists, for what must outlive the process; empty keeps nothing"},
+		{Name: "log", Kind: Text, Doc: "least level logged: debug, info, warn, error; that of the command line where empty"},
 		{Name: "me", Kind: Whole, Doc: "its number among the fronts, from 0"},
 		{Name: "fronts", Kind: Whole, Default: 1.0, Min: 1, Doc: "how many fronts there are"},
 		{Name: "zone", Kind: Text, Doc: "the zone it stands in"},
@@ -146,6 +147,9 @@
 		s.Wrong(e.Line, "front: name %q is used for files; letters, digits, dots and dashes are right", t.Name)
 	}
 	t.Redirect = e.Text("redirect")
+	if t.Log = e.Text("log"); !slices.Contains([]string{"", "debug", "info", "warn", "error"}, t.Log) {
+		s.Wrong(e.Line, "front: log is %q; debug, info, warn or error would be right", t.Log)
+	}
 	t.TLS = Pair{e.Text("tls_listen"), e.Text("cert"), e.Text("key")}
 	if t.TLS.Listen != "" && (t.TLS.Cert == "" || t.TLS.Key == "") {
 		s.Wrong(e.Line, "front: tls_listen needs cert and key, two files")
--- a/internal/settings/terms.go
+++ b/internal/settings/terms.go
@@ -15,6 +15,7 @@
 	TLS    Pair   // for viewers that come over TLS; an empty Listen is none
 	BoxTLS Trust  // of boxes, which are then reached over TLS; empty Roots is none
 	State  string // folder that must exist, in which the instance has its own; empty keeps nothing
+	Log    string // least level; empty leaves it as the process began with
 	Admin  string // address for health and metrics; empty is none
 
 	Figures  choice.StartFigures // Seed 0 is drawn at start
