Read the usual load of 8 s, the own mix with a prior, and streams that live viewers share

Cause: f.usual moved a thirtieth a reading, and a front of 230 reads one in 4 s; f.fraction and premium's part came of two to nine own sessions; the prior session counted at a rung its group may not use; a shared stream counted whole. Change: usual is a mean over 8 s; one session of each group, at its own top, stands in for the others' mix; a viewer of a live title adds shared_adds of its rate where a stream likely runs, and fronts prefer the same eighth of holders; uplinks not reported go by their rack's links; a time-out asks for one probe.

--- a/choice/api.go
+++ b/choice/api.go
@@ -35,6 +35,7 @@
 	StartTarget float64 // seconds within which an answer is wanted
 	Paid        bool    // a SETUP is paid for and must not be repeated
 	Floor, Top  int     // lowest and highest rung
+	Adds        float64 // what a further viewer of a title adds to its stream at a server, of its rate; 0 is all
 	Seats       int     // sessions of one title that a front may hold; 0 is no cap
 }
 
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -46,10 +46,12 @@
 	nextDue        float64          // the wake-up that is set
 	settled        float64          // started so long ago that its own sessions have come back, some 20 s
 	usual          [2]float64       // mean load of links and of uplinks by all readings; 0 is none yet
+	reads, readAt  [2]float64       // readings of late that made it, and when the last one came
 	usualAt        float64          // top rates of all own sessions meanwhile
 	pooled         float64          // when tops and asks were summed
 	tops, rungs    [2]float64       // of all own sessions: top rates and rung rates; others, premium
 	all, floors    float64          // their top rates, their lowest rungs' rates
+	ahead          [2]float64       // premium's part of top rates and of rung rates
 	fraction       float64          // what sessions play at over their top rates
 }
 
@@ -60,6 +62,7 @@
 	demand       [2]float64 // smoothed top rates: the other groups, the premium ones
 	smoothed     float64    // when
 	lift, lifted float64    // what short-delivery notes lift demand to, and when
+	guessed      float64    // when a step up was last looked for
 	rest, read   float64    // what other fronts asked at the last reading, and when; 0 is never
 	at           float64    // top rates of all own sessions at that reading
 	past         [8]float64 // rung rates asked at the last ticks, newest first
@@ -67,6 +70,7 @@
 	share, noted float64    // delivered when it was last noted short, and when
 	down, up     float64    // no step before
 	size         float64    // capacity: told, or more where the own sessions show it
+	under        []*link    // of an uplink: those of the rack's servers that are ready
 	fresh        bool       // read, joined or left since it was last looked at
 	kind         int        // 0 a server's link, 1 a rack's uplink
 }
@@ -103,6 +107,7 @@
 		for i, r := range s.Ladder {
 			rates[i] = r * g.Scale
 		}
+		g.Adds = cmp.Or(g.Adds, 1)
 		f.groups = append(f.groups, group{g, rates, 0})
 		if g.Utility > lowest {
 			f.groups[len(f.groups)-1].premium = 1
@@ -169,6 +174,14 @@
 		s.link.size = max(s.link.size, s.link.told)
 		s.uplink = f.uplinks[e.Cell%f.racks]
 	}
+	for _, l := range f.uplinks {
+		l.under = l.under[:0]
+	}
+	for _, s := range f.servers {
+		if s.state == Ready && (!whole || named[s.id]) {
+			s.uplink.under = append(s.uplink.under, s.link)
+		}
+	}
 	for _, s := range f.servers {
 		if whole && !named[s.id] {
 			s.state = Gone
@@ -206,6 +219,7 @@
 	s := f.admit(r)
 	s.plays, s.sent = true, 1
 	if sv := f.server(id); sv != nil {
+		s.part = f.part(s, sv)
 		f.join(s, sv)
 	}
 }
@@ -214,7 +228,7 @@
 	g := &f.groups[r.Group]
 	s := &sess{id: r.ID, group: g, seat: seat{r.Title, r.Group}, start: r.StartCell, span: r.Span,
 		best: max(min(r.BestRung, g.Top, len(g.rates)-1), g.Floor), asked: f.now, setupTimeout: r.SetupTimeout,
-		rung: g.Floor, wantRung: g.Floor}
+		rung: g.Floor, wantRung: g.Floor, part: 1}
 	if r.Length > 0 {
 		s.ends = f.now + r.Length
 	}
@@ -227,7 +241,7 @@
 	const window = 10 // the design's
 	var top [2]float64
 	for _, s := range l.sess {
-		top[s.group.premium] += s.group.rates[s.best]
+		top[s.group.premium] += s.rate(s.best)
 	}
 	k := 1 - math.Exp((l.smoothed-f.now)/window)
 	for i := range top {
@@ -254,14 +268,20 @@
 	f.pooled, f.floors, f.tops, f.rungs = f.now, 0, [2]float64{}, [2]float64{}
 	for _, l := range f.uplinks {
 		for _, s := range l.sess {
-			f.tops[s.group.premium] += s.group.rates[s.best]
-			f.rungs[s.group.premium] += s.group.rates[s.wantRung]
-			f.floors += s.group.rates[s.group.Floor]
+			f.tops[s.group.premium] += s.rate(s.best)
+			f.rungs[s.group.premium] += s.rate(s.wantRung)
+			f.floors += s.rate(s.group.Floor)
 		}
 	}
-	one := f.groups[0].rates[len(f.groups[0].rates)-1] // a session at four tenths, for a front without any
 	f.all = f.tops[0] + f.tops[1]
-	f.fraction = (f.rungs[0] + f.rungs[1] + 0.4*one) / (f.all + one)
+	// A session of each group at four tenths, for a front of few: its own mix says little of the others'.
+	tops, rungs := f.tops, f.rungs
+	for _, g := range f.groups {
+		tops[g.premium] += g.rates[g.Top]
+		rungs[g.premium] += 0.4 * g.rates[g.Top]
+	}
+	f.fraction = (rungs[0] + rungs[1]) / (tops[0] + tops[1])
+	f.ahead[0], f.ahead[1] = tops[1]/(tops[0]+tops[1]), rungs[1]/(rungs[0]+rungs[1])
 }
 
 // surge is how much more viewers want than when readings were taken, as all own sessions show it: against a
@@ -272,23 +292,27 @@
 	if then == 0 || f.now < f.settled {
 		return 1
 	}
-	some := 8 * f.groups[0].rates[len(f.groups[0].rates)-1]
+	some := 8 * f.groups[0].rates[f.groups[0].Top]
 	return min(max((f.all+some)/(then+some), 1), 2)
 }
 
 // others is what other fronts ask of a link: what its last reading leaves beside the own ones, fading into
 // the usual load of such links, as sessions turn over within some 30 s.
 func (f *Front) others(l *link) float64 {
-	// Before the first reading half full and a bit, as most are; uplinks that are not reported go by the links.
-	usual := cmp.Or(f.usual[0], 0.6)
-	if l.kind == 1 {
-		usual = cmp.Or(f.usual[1], usual*f.fleet/f.lines)
+	// Before the first reading half full and a bit, as most are; uplinks that are not reported go by their links.
+	usual := 0.0
+	if l.kind == 1 && f.usual[1] == 0 && len(l.under) > 0 {
+		for _, o := range l.under {
+			usual += f.others(o)
+		}
+	} else {
+		usual = cmp.Or(f.usual[l.kind], 0.6) * f.surge(f.usualAt) * l.size * (1 - 1/float64(f.fronts))
 	}
 	w := 0.0
 	if l.read > 0 {
 		w = math.Exp((l.read - f.now) / 30)
 	}
-	return w*l.rest*f.surge(l.at) + (1-w)*usual*f.surge(f.usualAt)*l.size*(1-1/float64(f.fronts))
+	return w*l.rest*f.surge(l.at) + (1-w)*usual
 }
 
 // warm is the share of its capacity that a server has reached.
@@ -308,10 +332,7 @@
 	// Other fronts' demand: what they ask, over the fraction of their top rates that sessions play at.
 	f.pool()
 	o := f.others(l)
-	p, q := 0.0, 0.0 // premium's part of top rates and of rung rates
-	if f.tops[1] > 0 {
-		p, q = f.tops[1]/f.all, f.rungs[1]/(f.rungs[0]+f.rungs[1])
-	}
+	p, q := f.ahead[0], f.ahead[1]
 	d[0] += o / f.fraction * (1 - p)
 	d[1] += o / f.fraction * p
 	// Lifts fade by e in 5 s once notes stop, half the window: a few notes missed mean that it is over.
@@ -341,6 +362,17 @@
 	return r
 }
 
+// part is what a session adds of its rate at a server: less than all where a stream of its live title runs there,
+// by the own sessions, or likely, as all fronts prefer the same of its holders, one in so many.
+func (f *Front) part(s *sess, sv *server) float64 {
+	const among = 8
+	if s.group.Adds < 1 && (mix(s.seat.title, sv.id)%among == 0 ||
+		slices.ContainsFunc(sv.link.sess, func(o *sess) bool { return o.seat == s.seat })) {
+		return s.group.Adds
+	}
+	return 1
+}
+
 // place chooses holder and rung, or turns the session away.
 func (f *Front) place(s *sess) {
 	f.touched = append(f.touched, s)
@@ -372,6 +404,10 @@
 		_, a := f.pressure(sv.link, sv, s, 0)
 		_, u := f.pressure(sv.uplink, sv, s, 0)
 		room := f.room(sv)
+		s.part = f.part(s, sv)
+		if s.part < 1 {
+			room += (1 - s.part) * s.group.rates[f.rungFor(s, sv, top*s.part)]
+		}
 		// Past double new sessions are turned away, but for one whose lowest rung still fits under the target, or
 		// would with all others at theirs: viewers don't wait, and a tenth of the rate earns a quarter of the
 		// utility. The others step down as notes tell them; of 0.5 to 0.9 tried, 0.7 keeps what they lose small.
@@ -399,8 +435,9 @@
 		return
 	}
 	best := list[i].sv
-	r := f.rungFor(s, best, top)
-	if r > s.group.Floor && s.group.rates[r] > f.room(best)-free*best.link.size {
+	s.part = f.part(s, best)
+	r := f.rungFor(s, best, s.rate(s.best))
+	if r > s.group.Floor && s.rate(r) > f.room(best)-free*best.link.size {
 		r--
 	}
 	s.wantRung, s.wantOut = r, true
@@ -461,7 +498,9 @@
 		case Served, ServerError, Full:
 			f.alive(sv)
 			f.report(sv, rep, 0)
-		case TimedOut, NoConnection, Reset:
+		case TimedOut:
+			f.doubt(sv)
+		case NoConnection, Reset:
 			f.setAside(sv)
 		}
 		if o == Full {
@@ -536,8 +575,10 @@
 // hear takes a server's word on a link's load.
 func (f *Front) hear(l *link, x, lag float64) {
 	l.load, l.seen = x, f.now
+	// The readings of some 15 s make the usual load, however few: a front of many reads little.
 	u := cmp.Or(f.usual[l.kind], 0.6)
-	f.usual[l.kind] = u + (x-u)/30 // some thirty readings make the usual load
+	f.reads[l.kind] = f.reads[l.kind]*math.Exp((f.readAt[l.kind]-f.now)/8) + 1
+	f.usual[l.kind], f.readAt[l.kind] = u+(x-u)/max(f.reads[l.kind], 3), f.now
 	f.pool()
 	f.usualAt = cmp.Or(f.usualAt, f.all)
 	f.usualAt += (f.all - f.usualAt) / 10
@@ -607,10 +648,12 @@
 	f.alive(sv)
 	f.report(sv, rep, 0.25)
 	if sv.aside {
-		// Two in a row, so that one lucky answer doesn't bring it back.
+		// Two in a row, so that one lucky answer doesn't bring it back; one after a lost answer alone.
 		// It may have come back cold before the directory says so.
 		if sv.good++; sv.good >= 2 {
-			sv.aside, sv.born = false, max(sv.born, f.now)
+			if sv.aside = false; !sv.doubted {
+				sv.born = max(sv.born, f.now)
+			}
 		}
 	}
 }
@@ -622,7 +665,18 @@
 	sv.heard = f.now
 }
 
+// doubt sets a server aside until one probe is answered, as lost answers are not silence.
+func (f *Front) doubt(sv *server) {
+	if sv.aside || !f.probes {
+		f.setAside(sv)
+		return
+	}
+	f.setAside(sv)
+	sv.doubted, sv.good, sv.probe, sv.probeAt = true, 1, true, f.now+1
+}
+
 func (f *Front) setAside(sv *server) {
+	sv.doubted = false
 	if sv.good = 0; !sv.aside {
 		sv.aside, sv.left, sv.probeAt = true, f.now, f.now
 	}
@@ -689,13 +743,13 @@
 	for n := (len(l.sess) + 1) / 2; n > 0 && excess > 0; n-- {
 		s := l.pick(func(s *sess) float64 {
 			below := max(s.wantRung-1, s.group.Floor)
-			return (s.group.rates[s.wantRung] - s.group.rates[below]) / s.group.Utility
+			return (s.rate(s.wantRung) - s.rate(below)) / s.group.Utility
 		})
 		if s == nil {
 			return
 		}
 		to := min(s.wantRung-1, f.rungFor(s, s.holder, 0))
-		less := s.group.rates[s.wantRung] - s.group.rates[to]
+		less := s.rate(s.wantRung) - s.rate(to)
 		if !f.takes(less, excess) {
 			return
 		}
@@ -707,13 +761,14 @@
 
 // raise steps one playing session of a server up when link and uplink have room.
 func (f *Front) raise(sv *server) {
-	if !sv.link.fresh && !sv.uplink.fresh || f.now < max(sv.link.up, sv.uplink.up) || sv.state != Ready {
+	if !sv.link.fresh && !sv.uplink.fresh && f.now-max(sv.link.read, sv.link.guessed) < 8 || f.now < max(sv.link.up, sv.uplink.up) || sv.state != Ready {
 		return
 	}
+	sv.link.guessed = f.now
 	room := f.room(sv) - free*sv.link.size
 	rise := func(s *sess) (to int, more float64) {
 		for to = f.rungFor(s, sv, 0); to > s.wantRung; to-- {
-			if more = s.group.rates[to] - s.group.rates[s.wantRung]; more <= room {
+			if more = s.rate(to) - s.rate(s.wantRung); more <= room {
 				return to, more
 			}
 		}
@@ -748,9 +803,9 @@
 // least is what a link is asked over its target with all sessions and one more at their lowest rungs.
 func (f *Front) least(l *link, sv *server, s *sess) float64 {
 	f.pool()
-	sum := s.group.rates[s.group.Floor]
+	sum := s.rate(s.group.Floor)
 	for _, o := range l.sess {
-		sum += o.group.rates[o.group.Floor]
+		sum += o.rate(o.group.Floor)
 	}
 	if r := f.rungs[0] + f.rungs[1]; r > 0 {
 		sum += f.others(l) * f.floors / r
--- a/choice/state.go
+++ b/choice/state.go
@@ -28,6 +28,7 @@
 	heard          float64 // last sign of life
 	aside          bool    // gets no sessions until it answers probes
 	good           int     // probes answered in a row while aside
+	doubted        bool    // aside for one lost answer
 	probing, probe bool    // a probe is out, is wanted
 	left, probeAt  float64 // set aside when; next probe while aside
 	full           float64 // full until
@@ -48,7 +49,8 @@
 	out, plays, mayRan        bool // a SETUP is out; it plays; an earlier SETUP may have run
 	rung                      int  // in force
 	wantRung                  int
-	wantOut                   bool // a SETUP to holder is wanted
+	wantOut                   bool    // a SETUP to holder is wanted
+	part                      float64 // what it adds of its rate at its holder; below 1 where a stream is shared
 	answer                    answer
 	awaits                    *server // its probe is waited for
 	looked                    bool    // it has waited
@@ -71,12 +73,27 @@
 func (l *link) asks(premium bool) (sum float64) {
 	for _, s := range l.sess {
 		if !premium || s.group.premium == 1 {
-			sum += s.group.rates[s.wantRung]
+			sum += s.rate(s.wantRung)
 		}
 	}
 	return sum
 }
 
+// rate is what a session adds to its holder's link at a rung.
+func (s *sess) rate(rung int) float64 { return s.part * s.group.rates[rung] }
+
+// mix hashes a title and a server (FNV-1a), alike at all fronts.
+func mix(title string, id ServerID) uint32 {
+	h := uint32(2166136261)
+	for i := range len(title) {
+		h = (h ^ uint32(title[i])) * 16777619
+	}
+	for i := range 4 {
+		h = (h ^ uint32(id)>>(8*i)&0xff) * 16777619
+	}
+	return h ^ h>>15
+}
+
 // pick is the session on a link that weighs most, nil where none weighs more than 0.
 func (l *link) pick(weigh func(s *sess) float64) (best *sess) {
 	most := 0.0
--- a/internal/wire/start.go
+++ b/internal/wire/start.go
@@ -48,12 +48,16 @@
 	s.SetupWindow = g.seconds("rules.counted_over", false)
 	scale, floor := g.numbers(fam+"class_scale"), g.numbers(fam+"class_floor")
 	top, seats := g.numbers(fam+"highest_rung"), g.numbers(fam+"seats")
+	live := strings.Split(f[fam+"live"], ",")
 	for i := range g.whole("grades.count", false) {
 		at := fmt.Sprintf("grades.%d.", i)
 		s.Groups = append(s.Groups, choice.ServiceGroup{Utility: g.optional(at + "worth"), Scale: nth(scale, i, 1),
 			StartTarget: g.seconds(at+"goal_time", false),
 			Paid:        f[at+"effect"] != "pure", Floor: int(nth(floor, i, 0)),
 			Top: int(nth(top, i, float64(len(s.Ladder)-1))), Seats: int(nth(seats, i, 0))})
+		if i < len(live) && (live[i] == "true" || live[i] == "1") {
+			s.Groups[i].Adds = g.optional(fam + "shared_adds")
+		}
 	}
 	return e, g.err
 }
