Take others to move as the own sessions do, and step down at half the pace

Cause: surge never went under 1 and counted top rates, not rungs; a front that was handed its sessions waited 20 s for it; steps down every 2 s straight to the design's rung took back what notes a second late had already had answered. Change: surge is what all own sessions ask now over what they asked at the reading, 0.4 to 2; handed sessions settle a front; one rung down every 4 s; the usual load is the mean of each link's last word; a link not read for 3 s is looked at for steps up by it; half full before any word.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -45,9 +45,8 @@
 	taken, further []float64        // requests and further SETUPs, when; emptied past the ration's window
 	nextDue        float64          // the wake-up that is set
 	settled        float64          // started so long ago that its own sessions have come back, some 20 s
-	usual          [2]float64       // mean load of links and of uplinks by all readings; 0 is none yet
-	reads, readAt  [2]float64       // readings of late that made it, and when the last one came
-	usualAt        float64          // top rates of all own sessions meanwhile
+	usual          [2]float64       // mean load of links and of uplinks as last heard; 0 is none yet
+	usualAt, asked float64          // what all own sessions asked meanwhile, and ask now, with eight for chance
 	pooled         float64          // when tops and asks were summed
 	tops, rungs    [2]float64       // of all own sessions: top rates and rung rates; others, premium
 	all, floors    float64          // their top rates, their lowest rungs' rates
@@ -64,7 +63,7 @@
 	lift, lifted float64    // what short-delivery notes lift demand to, and when
 	guessed      float64    // when a step up was last looked for
 	rest, read   float64    // what other fronts asked at the last reading, and when; 0 is never
-	at           float64    // top rates of all own sessions at that reading
+	at           float64    // what all own sessions asked at that reading
 	past         [8]float64 // rung rates asked at the last ticks, newest first
 	load, seen   float64    // what a server last said, and when
 	share, noted float64    // delivered when it was last noted short, and when
@@ -218,6 +217,7 @@
 func (f *Front) Handed(r Request, id ServerID) {
 	s := f.admit(r)
 	s.plays, s.sent = true, 1
+	f.settled = f.now // its own sessions are here already
 	if sv := f.server(id); sv != nil {
 		s.part = f.part(s, sv)
 		f.join(s, sv)
@@ -281,32 +281,33 @@
 		rungs[g.premium] += 0.4 * g.rates[g.Top]
 	}
 	f.fraction = (rungs[0] + rungs[1]) / (tops[0] + tops[1])
+	f.asked = f.fraction * (f.all + 8*f.groups[0].rates[f.groups[0].Top])
 	f.ahead[0], f.ahead[1] = tops[1]/(tops[0]+tops[1]), rungs[1]/(rungs[0]+rungs[1])
 }
 
-// surge is how much more viewers want than when readings were taken, as all own sessions show it: against a
-// crowd that comes faster than readings tell. Eight are added on both sides for chance. Viewers who only lean
-// to this front pass for a crowd; then it plays lower than it could. A front just started fills of itself.
+// surge is what others ask now over what they did when readings were taken, as all own sessions show it: viewers
+// come and go, and sessions step, at other fronts as here. Against crowds that come faster than readings tell, and
+// against old words of a crush that hold all on low rungs. Eight sessions are added on both sides for chance.
+// Viewers who only lean to this front pass for a crowd. A front just started fills of itself.
 func (f *Front) surge(then float64) float64 {
 	f.pool()
 	if then == 0 || f.now < f.settled {
 		return 1
 	}
-	some := 8 * f.groups[0].rates[f.groups[0].Top]
-	return min(max((f.all+some)/(then+some), 1), 2)
+	return min(max(f.asked/then, 0.4), 2)
 }
 
 // others is what other fronts ask of a link: what its last reading leaves beside the own ones, fading into
 // the usual load of such links, as sessions turn over within some 30 s.
 func (f *Front) others(l *link) float64 {
-	// Before the first reading half full and a bit, as most are; uplinks that are not reported go by their links.
+	// Before the first reading half full; uplinks that are not reported go by their links.
 	usual := 0.0
 	if l.kind == 1 && f.usual[1] == 0 && len(l.under) > 0 {
 		for _, o := range l.under {
 			usual += f.others(o)
 		}
 	} else {
-		usual = cmp.Or(f.usual[l.kind], 0.6) * f.surge(f.usualAt) * l.size * (1 - 1/float64(f.fronts))
+		usual = cmp.Or(f.usual[l.kind], 0.5) * f.surge(f.usualAt) * l.size * (1 - 1/float64(f.fronts))
 	}
 	w := 0.0
 	if l.read > 0 {
@@ -422,9 +423,10 @@
 	slices.SortStableFunc(list, func(a, b holder) int { return cmp.Compare(b.room, a.room) })
 	// The likeliest is probed first where nothing was heard of it lately: many fronts know few links each.
 	// A second and third probe cost what they gained; tried 2 to 20 s, of which 5 is a load note's time and lag.
-	if f.probes && s.sent == 0 && !s.looked && len(list) > 1 && s.setupTimeout-f.now > 1 {
+	if f.probes && s.sent == 0 && s.looked < 1 && len(list) > 1 && s.setupTimeout-f.now > 1 {
 		if sv := list[0].sv; f.now-sv.link.seen > 5 {
-			sv.probe, s.looked, s.awaits = true, true, sv
+			sv.probe, s.awaits = true, sv
+			s.looked++
 			f.waiting = append(f.waiting, s)
 			return
 		}
@@ -575,13 +577,9 @@
 // hear takes a server's word on a link's load.
 func (f *Front) hear(l *link, x, lag float64) {
 	l.load, l.seen = x, f.now
-	// The readings of some 15 s make the usual load, however few: a front of many reads little.
-	u := cmp.Or(f.usual[l.kind], 0.6)
-	f.reads[l.kind] = f.reads[l.kind]*math.Exp((f.readAt[l.kind]-f.now)/8) + 1
-	f.usual[l.kind], f.readAt[l.kind] = u+(x-u)/max(f.reads[l.kind], 3), f.now
 	f.pool()
-	f.usualAt = cmp.Or(f.usualAt, f.all)
-	f.usualAt += (f.all - f.usualAt) / 10
+	f.usualAt = cmp.Or(f.usualAt, f.asked)
+	f.usualAt += (f.asked - f.usualAt) / 10
 	f.reckon(l, x, lag)
 }
 
@@ -599,7 +597,7 @@
 		l.rest += (r - l.rest) * 0.8 // reports are noisy, but each is of its own time; tried 0.6 to 1
 	}
 	f.pool()
-	l.read, l.fresh, l.at = f.now, true, f.all
+	l.read, l.fresh, l.at = f.now, true, f.asked
 }
 
 // Short takes a note of the share of the rate delivered at a server; 0.98 and more means that it is over.
@@ -703,12 +701,30 @@
 	for _, sv := range f.servers {
 		f.raise(sv)
 	}
+	f.average(links)
 	for _, l := range links {
 		copy(l.past[1:], l.past[:])
 		l.past[0], l.fresh = l.asks(false), false
 	}
 }
 
+// average makes the usual load of each link's last word, however many it came in: requests crowd where some look
+// most. Words fade by e in 8 s; a third of a link half full is there before any.
+func (f *Front) average(links []*link) {
+	var sum, n [2]float64
+	for _, l := range links {
+		if l.seen > 0 {
+			w := math.Exp((l.seen - f.now) / 8)
+			sum[l.kind], n[l.kind] = sum[l.kind]+w*l.load, n[l.kind]+w
+		}
+	}
+	for i := range sum {
+		if n[i] > 0 {
+			f.usual[i] = (sum[i] + 0.3*0.5) / (n[i] + 0.3)
+		}
+	}
+}
+
 // watch probes a server whose silence is unusual given the gaps before, and now and then one set aside.
 func (f *Front) watch(sv *server) {
 	if !f.probes || sv.probing || sv.aside || sv.state != Ready {
@@ -748,20 +764,20 @@
 		if s == nil {
 			return
 		}
-		to := min(s.wantRung-1, f.rungFor(s, s.holder, 0))
+		to := s.wantRung - 1
 		less := s.rate(s.wantRung) - s.rate(to)
 		if !f.takes(less, excess) {
 			return
 		}
 		excess -= less
 		f.step(s, to)
-		l.down, l.up = f.now+2, f.now+6
+		l.down, l.up = f.now+4, f.now+6
 	}
 }
 
 // raise steps one playing session of a server up when link and uplink have room.
 func (f *Front) raise(sv *server) {
-	if !sv.link.fresh && !sv.uplink.fresh && f.now-max(sv.link.read, sv.link.guessed) < 8 || f.now < max(sv.link.up, sv.uplink.up) || sv.state != Ready {
+	if !sv.link.fresh && !sv.uplink.fresh && f.now-max(sv.link.read, sv.link.guessed) < 3 || f.now < max(sv.link.up, sv.uplink.up) || sv.state != Ready {
 		return
 	}
 	sv.link.guessed = f.now
