--- a/choice/choice.go
+++ b/choice/choice.go
@@ -746,7 +746,7 @@
 // same note at once, together take about what there is.
 func (f *Front) takes(step, part float64) bool { return step <= part || f.chance() < part/step }
 
-// lower steps playing sessions down while what is asked passes the target, straight to the design's rung.
+// lower steps playing sessions down while what is asked passes the target, one rung at a time.
 func (f *Front) lower(l *link, sv *server) {
 	own := l.asks(false)
 	all, t := own+f.others(l), f.target(l, sv)
@@ -754,8 +754,8 @@
 		return
 	}
 	excess := (all - t) * own / all // this front's part
-	// The switch pace: half of the sessions every 2 s, then no step up for 6 s. Slower lets a short link cost
-	// all of its sessions, faster takes back what noisy readings ask for; tried from 0.5 to 3 s and 1 to 10 s.
+	// The switch pace: half of the sessions one rung every 3 s, then no step up for 6 s. Slower lets a short link
+	// cost all of its sessions, faster takes back what noisy and late readings ask for; tried 2 to 6, 4 to 8 s.
 	for n := (len(l.sess) + 1) / 2; n > 0 && excess > 0; n-- {
 		s := l.pick(func(s *sess) float64 {
 			below := max(s.wantRung-1, s.group.Floor)
@@ -771,13 +771,15 @@
 		}
 		excess -= less
 		f.step(s, to)
-		l.down, l.up = f.now+4, f.now+6
+		l.down, l.up = f.now+3, f.now+6
 	}
 }
 
 // raise steps one playing session of a server up when link and uplink have room.
 func (f *Front) raise(sv *server) {
-	if !sv.link.fresh && !sv.uplink.fresh && f.now-max(sv.link.read, sv.link.guessed) < 3 || f.now < max(sv.link.up, sv.uplink.up) || sv.state != Ready {
+	// Where nothing is heard of a link it goes by the usual load: some servers tell their load to probes only.
+	unread := f.now-max(sv.link.read, sv.link.guessed) >= 3
+	if !unread && !sv.link.fresh && !sv.uplink.fresh || f.now < max(sv.link.up, sv.uplink.up) || sv.state != Ready {
 		return
 	}
 	sv.link.guessed = f.now
