Tell other fronts the sums of the own sessions, where messages are allowed

Change: with each request 13 bytes to six fronts by chance; sums count beside the own ones and fade by e in 10 s. Malformed, forbidden or contradictory messages change nothing; lost ones leave today's figures. The adapter passes messages on; the real front has none, Peers is never set there.

--- a/choice/api.go
+++ b/choice/api.go
@@ -15,6 +15,7 @@
 	BusyReply(id SessID, comeBack float64)          // final answer: busy; 0 gives no advice
 	TearDown(id SessID)                             // final answer: failed
 	Probe(server ServerID)                          // examine a server
+	Tell(front int, words []byte)                   // send a message to another front; it may be lost
 	Wake(after float64)                             // call Due after so many seconds
 }
 
@@ -56,6 +57,7 @@
 	Advice         float64   // longest advice on coming back that viewers follow; 0 is none
 	FullAt         float64   // servers answer full while so much of their link is asked; 0 is never
 	Probes         bool
+	Peers          bool    // fronts may send each other messages
 	CrossZonePrice float64 // for a session that crosses zones, in sessions
 	Reporting      Reporting
 	WarmUp         float64 // a started server is warm after so many seconds
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -5,7 +5,8 @@
 // or chance but what they are handed.
 //
 // Mechanisms beside the design (docs/design.md says when each acts):
-//  1. others:  other fronts' demand on a link, by loads told, short notes, full answers, own growth since
+//  1. others:  other fronts' demand on a link, by loads told, short notes, full answers, what own sessions do
+//     since, and other fronts' sums where messages are allowed
 //  2. crush:   demand ahead of its smoothed figure counts; premium's lead is bounded; lowest rungs may fit
 //  3. silence: a server unusually silent is probed, set aside, and returns after it answers probes
 //  4. again:   further SETUPs within the start target, the ration and the terms of paid groups
@@ -35,6 +36,7 @@
 	spare, share, window   float64 // the ration of further SETUPs
 	fullAt, mark           float64 // load at which servers answer full, -1 is never; target over size
 	probes, half           bool    // probes are allowed; half of each slot stays shut
+	peers, telling         bool    // messages between fronts are allowed; one is wanted
 
 	servers        []*server        // by id; emptied of those gone once no session is left there
 	uplinks        []*link          // by rack
@@ -51,6 +53,9 @@
 	tops, rungs    [2]float64       // of all own sessions: top rates and rung rates; others, premium
 	all, floors    float64          // their top rates, their lowest rungs' rates
 	ahead          [2]float64       // premium's part of top rates and of rung rates
+	heard          mix              // sums of other fronts' sessions and words of links; emptied by time
+	heardAt        float64          // when they had faded so far
+	words          [2]float64       // own words of links: sum of loads, and how many
 	fraction       float64          // what sessions play at over their top rates
 }
 
@@ -89,7 +94,8 @@
 	f := &Front{acts: acts, now: now, mwc: s.Seed%0xfffffffe + 1, places: s.Places, fleet: s.FleetLinks,
 		cells: max(s.Cells, 1), racks: max(s.Racks, 1), fronts: max(s.Fronts, 1), me: s.Me, zone: s.Zone,
 		most: max(s.MostSetups, 1), lag: s.NoteLag, every: s.NoteEvery, advice: s.Advice, warmUp: s.WarmUp,
-		coldest: s.ColdShare, probes: s.Probes, spare: s.SpareSetups, share: s.SetupShare,
+		coldest: s.ColdShare, probes: s.Probes, peers: s.Peers && s.Fronts > 1,
+		spare: s.SpareSetups, share: s.SetupShare,
 		fullAt: cmp.Or(s.FullAt, -1), window: s.SetupWindow, settled: now + 20,
 		sess: map[SessID]*sess{}, seats: map[seat]int{}}
 	f.lines = max(s.UplinkMean*float64(f.racks), 1)
@@ -185,9 +191,32 @@
 func (f *Front) Ask(r Request) {
 	f.taken = append(f.taken, f.now)
 	f.ration()
+	f.telling = f.peers
 	f.place(f.admit(r))
 }
 
+// Told takes another front's sums of its sessions and of its words of links: against chance in the few own
+// ones. A lying front could make this one play too high or low; no rule depends on it. Lost ones leave the
+// own sums. Words of single links are not told: fronts would all go to the same ones.
+func (f *Front) Told(words []byte) {
+	if m, ok := openMix(words); ok && f.peers && m[2] <= m[0] && m[3] <= m[1] {
+		f.fade()
+		for i := range m {
+			f.heard[i] += m[i]
+		}
+		f.pooled = 0
+	}
+}
+
+// fade lets what others told lose a part of e in 10 s; tried 5 to 20.
+func (f *Front) fade() {
+	k := math.Exp((f.heardAt - f.now) / 10)
+	for i := range f.heard {
+		f.heard[i] *= k
+	}
+	f.heardAt = f.now
+}
+
 // answered places the sessions that waited for a server's probe, or for longer than a moment.
 func (f *Front) answered() {
 	var ready []*sess
@@ -266,7 +295,9 @@
 	}
 	f.all = f.tops[0] + f.tops[1]
 	// A session of each group at four tenths, for a front of few: its own mix says little of the others'.
-	tops, rungs := f.tops, f.rungs
+	f.fade()
+	tops := [2]float64{f.tops[0] + f.heard[0], f.tops[1] + f.heard[1]}
+	rungs := [2]float64{f.rungs[0] + f.heard[2], f.rungs[1] + f.heard[3]}
 	for _, g := range f.groups {
 		tops[g.premium] += g.rates[g.Top]
 		rungs[g.premium] += 0.4 * g.rates[g.Top]
@@ -355,7 +386,7 @@
 // 16 alike; without any preference 0.02 less). Viewers crowd on these; room and reports send them on.
 func (f *Front) part(s *sess, sv *server) float64 {
 	const among = 8
-	if s.group.Adds < 1 && (mix(s.seat.title, sv.id)%among == 0 ||
+	if s.group.Adds < 1 && (hash(s.seat.title, sv.id)%among == 0 ||
 		slices.ContainsFunc(sv.link.sess, func(o *sess) bool { return o.seat == s.seat })) {
 		return s.group.Adds
 	}
@@ -691,6 +722,9 @@
 			sum[l.kind], n[l.kind] = sum[l.kind]+w*l.load, n[l.kind]+w
 		}
 	}
+	f.words = [2]float64{sum[0], n[0]}
+	f.fade()
+	sum[0], n[0] = sum[0]+f.heard[4], n[0]+f.heard[5]
 	for i := range sum {
 		if n[i] > 0 {
 			f.usual[i] = (sum[i] + 0.3*0.5) / (n[i] + 0.3)
@@ -847,6 +881,14 @@
 		}
 		sv.probe = false
 	}
+	if f.telling {
+		f.pool()
+		words := sealMix(mix{f.tops[0], f.tops[1], f.rungs[0], f.rungs[1], f.words[0], f.words[1]})
+		for range 6 { // others by chance; three gain less, twelve cost what they gain
+			f.acts.Tell((f.me+1+int(f.chance()*float64(f.fronts-1)))%f.fronts, words)
+		}
+		f.telling = false
+	}
 	if f.nextDue == 0 {
 		f.nextDue = f.now + tick
 		f.acts.Wake(tick)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"math"
 	"math/rand"
 	"testing"
 	"testing/quick"
@@ -339,6 +340,39 @@
 	}
 }
 
+// Other fronts' sums count beside the own ones; what is malformed, forbidden or at odds with itself doesn't.
+func TestMessagesOfOtherFronts(t *testing.T) {
+	m := alone(func(s *StartFigures) { s.Fronts, s.Peers = 50, true })
+	part := func() float64 { m.f.pooled = 0; m.f.pool(); return m.f.fraction }
+	was := part()
+	low := sealMix(mix{40000, 0, 4000, 0, 3, 10})
+	for _, words := range [][]byte{nil, {}, low[:12], append([]byte{9}, low[1:]...), append(low[:13:13], 0),
+		sealMix(mix{1000, 0, 4000, 0, 3, 10})} {
+		if m.f.Told(words); part() != was {
+			t.Errorf("% x counts", words)
+		}
+	}
+	if m.f.Told(low); part() > 0.7*was {
+		t.Errorf("others play at %.2f, was %.2f", part(), was)
+	}
+	if m.f.At(m.w.now + 100); math.Abs(part()-was) > 0.01 {
+		t.Errorf("others play at %.2f long after the last message", part())
+	}
+	if big, ok := openMix(sealMix(mix{4e6, 2e6, 2e6, 1e6, 50, 100})); !ok || math.Abs(big[2]/big[0]-0.5) > 0.01 || big[0] > 7e5 {
+		t.Error("large sums are told as", big)
+	}
+	m.ask(plain(1))
+	if m.settle(); len(m.told) != 6 || len(m.told[0]) != 13 {
+		t.Errorf("%d messages for a request", len(m.told))
+	}
+	quiet := alone(func(s *StartFigures) { s.Fronts = 50 })
+	quiet.f.Told(low)
+	quiet.ask(plain(1))
+	if quiet.settle(); len(quiet.told) > 0 || quiet.f.heard != (mix{}) {
+		t.Error("messages where none are allowed")
+	}
+}
+
 // Viewers of a live title share a stream: each further one adds a part of the rate, and a server that has the
 // stream is worth what joining saves there.
 func TestLiveViewersShareAStream(t *testing.T) {
--- a/choice/session/session.go
+++ b/choice/session/session.go
@@ -856,6 +856,7 @@
 	})
 }
 
+func (a acts) Tell(int, []byte) {} // fronts of this program have no messages yet; Peers is never set
 func (a acts) TearDown(id choice.SessID) {
 	a.with(id, func(l *life) {
 		l.verdict, l.toldModule = TornDown, false
--- a/choice/state.go
+++ b/choice/state.go
@@ -81,8 +81,8 @@
 // rate is what a session adds to its holder's link at a rung.
 func (s *sess) rate(rung int) float64 { return s.part * s.group.rates[rung] }
 
-// mix hashes a title and a server (FNV-1a), alike at all fronts.
-func mix(title string, id ServerID) uint32 {
+// hash makes a number of a title and a server (FNV-1a), alike at all fronts.
+func hash(title string, id ServerID) uint32 {
 	h := uint32(2166136261)
 	for i := range len(title) {
 		h = (h ^ uint32(title[i])) * 16777619
--- a/choice/world_test.go
+++ b/choice/world_test.go
@@ -47,6 +47,7 @@
 	wake           float64
 	probes         []ServerID
 	busy, torn     int
+	told           [][]byte
 }
 
 type req struct {
@@ -63,7 +64,7 @@
 func newWorld(seed int64, fronts int) *world {
 	w := &world{rand: rand.New(rand.NewSource(seed)), now: 100, fig: figures(), state: map[ServerID]Lifecycle{},
 		born: map[ServerID]float64{}, cold: map[ServerID][]float64{}}
-	w.fig.Fronts = fronts
+	w.fig.Fronts, w.fig.Peers = fronts, seed%2 == 0
 	for _, e := range fleet() {
 		w.state[e.ID] = Ready
 	}
@@ -193,6 +194,14 @@
 	}
 }
 
+func (m *mock) Tell(front int, words []byte) {
+	m.told = append(m.told, words)
+	if w := m.w; front < len(w.fronts) && w.rand.Intn(3) > 0 { // others are lost
+		words = slices.Clone(words)
+		words[w.rand.Intn(len(words))] ^= byte(w.rand.Intn(2) * w.rand.Intn(256))
+		w.fronts[front].f.Told(words)
+	}
+}
 func (m *mock) TearDown(id SessID) { m.torn++; m.final(id) }
 
 // settle lets the front act and answers its probes at once.
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -110,6 +110,8 @@
 		f.Short(e.Server, e.Value)
 	case wire.InForce:
 		f.InForce(e.Request.ID, int(e.Value))
+	case wire.Message:
+		f.Told(e.Words)
 	case wire.Load, wire.UplinkLoad:
 		f.Load(e.Request.ID, e.Server, e.Value, e.Kind == wire.UplinkLoad)
 	}
--- a/internal/wire/start.go
+++ b/internal/wire/start.go
@@ -35,6 +35,7 @@
 		s.Advice = g.seconds("caps.max_retry_after", false)
 	}
 	s.Probes = f["caps.probes"] == "true" || f["caps.probes"] == "1"
+	s.Peers = f["caps.peers"] == "true" || f["caps.peers"] == "1"
 	s.CrossZonePrice = g.optional("charges.cross_zone")
 	switch f["reporting.source"] {
 	case "piggyback":
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"encoding/base64"
 	"fmt"
 	"io"
 	"strconv"
@@ -31,6 +32,7 @@
 	InForce
 	Load
 	UplinkLoad
+	Message
 )
 
 // Event is one thing that a front is told.
@@ -47,6 +49,7 @@
 	Report  choice.Report
 	Took    float64
 	Value   float64
+	Words   []byte
 }
 
 // Reader reads batches.
@@ -180,6 +183,12 @@
 	case "POWER_OFF":
 		e.Kind = Stop
 	case "MESSAGE":
+		e.Kind = Message
+		if raw := g.f["raw"]; raw != "-" {
+			words, err := base64.StdEncoding.DecodeString(raw)
+			g.fail(err)
+			e.Words = words
+		}
 	case "TOPOLOGY":
 		mode := g.whole("mode", true)
 		if mode < 0 || mode > 3 {
--- a/internal/wire/write.go
+++ b/internal/wire/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/base64"
 	"fmt"
 	"io"
 	"math"
@@ -61,6 +62,11 @@
 	fmt.Fprintf(a.To.out, "TOUCH i=%s server=%d\n", a.Front, server)
 }
 
+// Tell sends a message to another front.
+func (a Acts) Tell(front int, words []byte) {
+	fmt.Fprintf(a.To.out, "MEMO_TO i=%s addressee=%d raw=%s\n", a.Front, front, base64.StdEncoding.EncodeToString(words))
+}
+
 // Wake sets a timer.
 func (a Acts) Wake(after float64) {
 	fmt.Fprintf(a.To.out, "SET_TIMER i=%s after=%d mark=1\n", a.Front, us(after))
