--- a/choice/choice.go
+++ b/choice/choice.go
@@ -71,7 +71,6 @@
 	at           float64    // what all own sessions asked at that reading
 	past         [8]float64 // rung rates asked at the last ticks, newest first
 	load, seen   float64    // what a server last said, and when
-	share, noted float64    // delivered when it was last noted short, and when
 	down, up     float64    // no step before
 	size         float64    // capacity: told, or more where the own sessions show it
 	fresh        bool       // read, joined or left since it was last looked at
@@ -629,20 +628,9 @@
 		f.setAside(sv)
 		return
 	}
-	// Which of the two is short, notes don't say: the link, unless the uplink's newest report says otherwise or,
-	// without one, two servers beside it tell the same share, or the link was lately told not full and no server
-	// beside it contradicts (it may hang then; that shows within 3 s).
-	l, like, unlike := sv.link, 0, 0
-	l.share, l.noted = share, f.now
-	for _, o := range f.servers {
-		if o == sv || o.uplink != sv.uplink || len(o.link.sess) == 0 {
-			continue
-		} else if unlike++; f.now-o.link.noted < 1.5 && math.Abs(o.link.share-share) < 0.05 {
-			like, unlike = like+1, unlike-1
-		}
-	}
-	fresh, read := f.now-sv.uplink.seen < 5, f.now-l.seen < 5
-	if fresh && sv.uplink.load > 1 || !fresh && l.load < 0.95 && (like > 1 || read && unlike == 0) {
+	// Which of the two is short, notes don't say: the link, unless the uplink's newest report says otherwise.
+	l := sv.link
+	if f.now-sv.uplink.seen < 5 && sv.uplink.load > 1 {
 		l = sv.uplink
 	}
 	l.lift, l.lifted = max(l.size/max(share, 0.1), l.lift*math.Exp((l.lifted-f.now)/5)), f.now
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -135,18 +135,13 @@
 	}
 }
 
-// Three servers of a rack that deliver the same share on idle links have a short uplink; one alone does not.
-func TestShareOfAWholeRackIsLaidToItsUplink(t *testing.T) {
-	for n, want := range map[int]bool{1: false, 3: true} {
+// A short note is the link's, unless the uplink's newest report says that this is full.
+func TestWhoseShortNoteItIs(t *testing.T) {
+	for load, want := range map[float64]bool{0.5: false, 1.1: true} {
 		m := alone(nil)
-		for i := range n {
-			m.f.Handed(Request{ID: SessID(rune('a' + i)), Group: 1}, ServerID(10+2*i))
-		}
-		for i := range n {
-			m.f.Short(ServerID(10+2*i), 0.6)
-		}
-		if got := m.f.uplinks[0].read > 0; got != want {
-			t.Errorf("%d servers short: laid to the uplink %v", n, got)
+		m.f.hear(m.f.uplinks[0], load, 0)
+		if m.f.Short(10, 0.8); (m.f.uplinks[0].lift > 0) != want || (m.f.server(10).link.lift > 0) == want {
+			t.Errorf("uplink told %.1f: lifted to %.0f, the link to %.0f", load, m.f.uplinks[0].lift, m.f.server(10).link.lift)
 		}
 	}
 }
@@ -277,18 +272,6 @@
 	}
 }
 
-// A link lately told not full whose server delivers short, with none beside it to contradict: its uplink is.
-func TestShortOnALinkNotFullIsItsUplinks(t *testing.T) {
-	for load, want := range map[float64]bool{0.5: true, 1.1: false} {
-		m := alone(nil)
-		m.f.hear(m.f.server(10).link, load, 0)
-		m.f.Short(10, 0.8)
-		if got := m.f.uplinks[0].read > 0; got != want {
-			t.Errorf("link told %.1f: laid to the uplink %v", load, got)
-		}
-	}
-}
-
 // A capped reading near its cap tells that a link is full, but not that it is less than was known.
 func TestACappedReadingOnlyRaisesWhatIsKnown(t *testing.T) {
 	m := alone(func(s *StartFigures) { s.Fronts = 50 })
