--- a/choice/choice.go
+++ b/choice/choice.go
@@ -770,7 +770,7 @@
 	}
 }
 
-// raise steps one playing session of a server up when link and uplink have room.
+// raise steps one playing session of a server a rung up when link and uplink have room.
 func (f *Front) raise(sv *server) {
 	// Where nothing is heard of a link it goes by the usual load: some servers tell their load to probes only.
 	unread := f.now-max(sv.link.read, sv.link.guessed) >= 3
@@ -780,17 +780,15 @@
 	}
 	sv.link.guessed = f.now
 	room := f.room(sv) - free*sv.link.size
-	rise := func(s *sess) (to int, more float64) {
-		for to = f.rungFor(s, sv, 0); to > s.wantRung; to-- {
-			if more = s.rate(to) - s.rate(s.wantRung); more <= room {
-				return to, more
-			}
+	rise := func(s *sess) float64 {
+		if f.rungFor(s, sv, 0) <= s.wantRung {
+			return 0
 		}
-		return to, 0
+		return s.rate(s.wantRung+1) - s.rate(s.wantRung)
 	}
 	s := sv.link.pick(func(s *sess) float64 {
-		_, more := rise(s)
-		if more == 0 || s.ends > 0 && s.ends < f.now+3 || f.now-s.switched < 8 {
+		more := rise(s)
+		if more == 0 || more > room || s.ends > 0 && s.ends < f.now+3 || f.now-s.switched < 8 {
 			return 0
 		}
 		return s.group.Utility / more
@@ -799,8 +797,8 @@
 		return
 	}
 	own := sv.link.asks(false)
-	if to, more := rise(s); f.takes(more, room*own/(own+f.others(sv.link))) {
-		f.step(s, to)
+	if f.takes(rise(s), room*own/(own+f.others(sv.link))) {
+		f.step(s, s.wantRung+1)
 		sv.link.up = f.now + 1
 	}
 }
