--- a/choice/state.go
+++ b/choice/state.go
@@ -142,7 +142,7 @@
 	Servers        []Remembered
 	Uplinks        []Reading  // by rack
 	Usual          [2]float64 // mean load of links and of uplinks; 0 is none yet
-	UsualAt        float64    // top rates of all own sessions meanwhile
+	UsualAt        float64    // what all own sessions asked meanwhile, and eight for chance
 	Settled        float64    // when its own sessions had come back
 }
 
@@ -162,7 +162,7 @@
 type Reading struct {
 	Told, Size   float64 // capacity by the terms; as own sessions show it
 	Rest, Read   float64 // what other fronts asked at the last reading, and when
-	Top          float64 // top rates of all own sessions at that reading
+	Top          float64 // what all own sessions asked at that reading, and eight for chance
 	Load, Seen   float64 // what a server last said, and when
 	Lift, Lifted float64 // what short-delivery notes lift demand to, and when
 }
--- a/internal/settings/read.go
+++ b/internal/settings/read.go
@@ -242,11 +242,15 @@
 	e, _ = s.One("fleet")
 	f.FleetLinks, f.UplinkMean, f.CrossZonePrice = e.Number("links"), e.Number("uplink"), e.Number("cross_zone_price")
 	f.Cells, f.Racks = e.Int("cells"), e.Int("racks")
+	live := false
 	for i, g := range s.All("group") {
 		if g.Flag("live") {
-			f.Groups[i].Adds = e.Number("shared_adds")
+			f.Groups[i].Adds, live = e.Number("shared_adds"), true
 		}
 	}
+	if e.Number("shared_adds") < 1 && e.Has("shared_adds") && !live {
+		s.Wrong(e.Line, "fleet: shared_adds is %v, and no group is live; live = True in one of them would be right", e.Number("shared_adds"))
+	}
 	if f.Racks > f.Cells {
 		s.Wrong(e.Line, "fleet: %d racks in %d cells; a rack has one cell at least", f.Racks, f.Cells)
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -50,6 +50,9 @@
 		says     string
 	}{
 		"a name mistyped":    {"ladder(", "lader(", ":7:", "ladder may be meant"},
+		"shared, none live":  {"racks = 3", "racks = 3, shared_adds = 0.3", ":10:", "no group is live"},
+		"shared more":        {"racks = 3", "racks = 3, shared_adds = 1.3", ":10:", "1 is the most"},
+		"live as a number":   {"seats = 5", "live = 1", ":8:", "True or False belongs there"},
 		"a field mistyped":   {"seats = 5", "seat = 5", ":8:", "seats may be meant"},
 		"a field missing":    {"uplink = 25000, ", "", ":10:", "fleet needs uplink"},
 		"a form missing":     {"title(name", "dict(name", ":1:", "title is missing"},
