--- a/choice/choice.go
+++ b/choice/choice.go
@@ -441,10 +441,9 @@
 	slices.SortStableFunc(list, func(a, b holder) int { return cmp.Compare(b.room, a.room) })
 	// The likeliest is probed first where nothing was heard of it lately: many fronts know few links each.
 	// A second and third probe cost what they gained; tried 2 to 20 s, of which 5 is a load note's time and lag.
-	if f.probes && s.sent == 0 && s.looked < 1 && len(list) > 1 && s.setupTimeout-f.now > 1 {
+	if f.probes && s.sent == 0 && !s.looked && len(list) > 1 && s.setupTimeout-f.now > 1 {
 		if sv := list[0].sv; f.now-sv.link.seen > 5 {
-			sv.probe, s.awaits = true, sv
-			s.looked++
+			sv.probe, s.looked, s.awaits = true, true, sv
 			f.waiting = append(f.waiting, s)
 			return
 		}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand"
+	"slices"
 	"testing"
 	"testing/quick"
 )
@@ -298,9 +299,7 @@
 			m.f.InForce(r.ID, 2)
 		}
 	}
-	m.w.now += 21 // a front just started fills of itself
-	m.f.At(m.w.now)
-	hand(4, "few")
+	hand(4, "few") // a front just started fills of itself, but not one that is handed its sessions
 	l := m.f.server(10).link
 	m.f.hear(l, 0.4, 0)
 	m.w.now += 0.5
@@ -378,3 +377,42 @@
 		t.Errorf("a third viewer is at %d, the stream at 11", q.on)
 	}
 }
+
+// A server that none prefers is as good as a preferred one to a front that has a viewer of the title there.
+func TestOwnViewersMakeAStream(t *testing.T) {
+	m := alone(func(s *StartFigures) { s.Groups[1].Adds = 0.3 })
+	r := plain(1)
+	sv := m.f.servers[slices.IndexFunc(m.f.servers, func(s *server) bool { return hash(r.Title, s.id)%8 != 0 })]
+	s := m.f.admit(r)
+	if p := m.f.part(s, sv); p != 1 {
+		t.Fatalf("a first viewer adds %.1f of its rate", p)
+	}
+	r.ID = "there"
+	if m.f.Handed(r, sv.id); m.f.part(s, sv) != 0.3 {
+		t.Errorf("a second viewer adds %.1f of its rate", m.f.part(s, sv))
+	}
+}
+
+// Where no load is told while sessions play, they rise by the usual load; old words of links make way for new ones.
+func TestSessionsOfLinksNotHeardOfRise(t *testing.T) {
+	m := alone(func(s *StartFigures) { s.Fronts, s.Probes, s.NoteEvery, s.FleetLinks = 50, false, 0, 120000 })
+	r := plain(1)
+	r.ID = "low"
+	m.f.Handed(r, 10)
+	m.f.hear(m.f.server(11).link, 2, 0)
+	for range 240 {
+		m.w.now += 0.25
+		m.f.At(m.w.now)
+		if m.w.now > 115 {
+			m.f.hear(m.f.server(12).link, 0.1, 0)
+		}
+		m.f.Due()
+		m.f.Settle()
+	}
+	if u := m.f.usual[0]; u > 0.5 {
+		t.Errorf("usual load %.2f, 60 s after a word of 2 and with 0.1 since", u)
+	}
+	if s := m.f.sess["low"]; s.wantRung == 0 {
+		t.Error("it stays on the lowest rung of a link that is not heard of")
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -52,7 +52,7 @@
 	part                      float64 // what it adds of its rate at its holder; below 1 where a stream is shared
 	answer                    answer
 	awaits                    *server // its probe is waited for
-	looked                    int     // times that it has waited
+	looked                    bool    // it has waited
 }
 
 type answer int
--- a/internal/front/migrate_test.go
+++ b/internal/front/migrate_test.go
@@ -33,8 +33,7 @@
 reports(come = "probes", notes_every = 0, full_at = 1)
 `
 
-// A front on migrated settings keeps the rules before boxes of the new place: answers without a word of load, one box
-// that hangs, another whose answers are errors.
+// A front on migrated settings keeps the rules before three boxes that send no load notes: one hangs, one fails once.
 func TestFrontOnMigratedSettings(t *testing.T) {
 	dir := t.TempDir()
 	old, layout, out := filepath.Join(dir, "old.star"), filepath.Join(dir, "layout.star"), filepath.Join(dir, "new.star")
@@ -54,7 +53,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := newBench(t, 3, func(x *settings.Terms, _ *box.Site) {
+	b := newBench(t, 3, func(x *settings.Terms, site *box.Site) {
+		site.NoteEvery = 0
 		bounds := x.Bounds
 		*x = terms
 		x.Boxes, x.Bounds = nil, bounds // newBench has its own
