Serve the platform's protocol as a real front node: rainhaven node

rainhaven node drives choice.Front over sockets: internal/node (one loop), node/feed (coordinator), node/start (configuration), choice/share and choice/vigil (what gives way, when silent servers' sessions are lost). One reader of the start figures and one dispatcher of events now serve simulator host and node (internal/wire).

--- /dev/null
+++ b/choice/share/share.go
@@ -0,0 +1,49 @@
+// Package share decides how one front node's descriptors are shared out between viewers and servers, and which
+// viewers' connections give way. It does no I/O.
+package share
+
+// Viewers is how many viewers' connections are held together: usual viewers hold at most a third of all descriptors,
+// and as many again may be held by others until their age tells them apart.
+func Viewers(descriptors int) int { return max(descriptors*55/100, 8) }
+
+// PerServer is how many connections one server may have: what viewers, the coordinator and the program itself leave,
+// split among the servers, within 1 to 8. A SETUP has a connection for itself where it can, as a spoilt answer ends
+// all that its connection carries.
+func PerServer(descriptors, servers int) int {
+	return min(max((descriptors*35/100)/max(servers, 1), 1), 8)
+}
+
+const (
+	// Begin is how many seconds a viewer's connection may take to send its first whole message, and each further one
+	// from its first byte: usual viewers send at once; against silent and half ones, who are owed a close within 3 s.
+	Begin = 2.0
+	// Unused is how many seconds a connection without sessions is kept: viewers close theirs after 4 s. Against
+	// viewers who ask once and hold their connection for good.
+	Unused = 6.0
+	// Open is how many requests of one connection may be without their answers, and OpenInAll of all; more are
+	// busy-replied, as nothing of them ran. Usual connections of the platform carry some tens.
+	Open, OpenInAll = 64, 512
+	// Wrong is how many of a connection's requests may be refused as malformed before it is closed.
+	Wrong = 8
+)
+
+// Holding is what decides whether a viewer's connection gives way.
+type Holding struct {
+	Spoke    bool // it has sent a whole message
+	Open     int  // requests without their answers
+	Standing int  // sessions whose release it waits for
+	Since    float64
+}
+
+// Rank orders connections for giving way: the lowest goes first, the oldest of a rank; below 0 never goes.
+func (h Holding) Rank() int {
+	switch {
+	case h.Open > 0:
+		return -1
+	case !h.Spoke:
+		return 0
+	case h.Standing == 0:
+		return 1
+	}
+	return 2
+}
--- /dev/null
+++ b/choice/vigil/vigil.go
@@ -0,0 +1,43 @@
+// Package vigil decides what a front node does about servers that hold standing sessions and may have died: when it
+// opens a connection to hear their releases, when it tests them, and when their sessions count as ended. No connection
+// owns a session that stands, so a break alone means nothing. It does no I/O.
+package vigil
+
+const (
+	// Quiet is how many seconds of silence from a server that holds sessions bring a test: set-ups and notes usually come
+	// oftener; a test a second and server costs far under a hundredth of what the fewest requests are worth.
+	quiet = 1.0
+	// Lost is how many seconds of silence, two tests within them, end a server's sessions. A server that hangs resets
+	// its sessions after 3 s itself, and what can't be released is owed its end within 8 s. Harm: a standstill of
+	// such a length costs all its sessions a new set-up.
+	lost = 3.2
+	// Pause is how many seconds lie between connections tried.
+	pause = 0.25
+)
+
+// Watch is what is known of one server while sessions stand there. The zero value has heard nothing.
+type Watch struct {
+	heard, tried, tested float64
+}
+
+// Heard tells that something came from the server, or that it took a connection.
+func (w *Watch) Heard(now float64) { w.heard = now }
+
+// Do is what a look at a server asks for.
+type Do struct{ Connect, Test, Lost bool }
+
+// Look tells what to do: up is how many connections are open, opening whether one is being opened.
+func (w *Watch) Look(now float64, up int, opening bool) (d Do) {
+	if w.heard == 0 {
+		w.heard = now
+	}
+	switch {
+	case now-w.heard >= lost:
+		d.Lost = true
+	case up == 0 && !opening && now-w.tried >= pause:
+		d.Connect, w.tried = true, now
+	case up > 0 && now-w.heard >= quiet && now-w.tested >= quiet:
+		d.Test, w.tested = true, now
+	}
+	return d
+}
--- /dev/null
+++ b/cmd/rainhaven/node.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"rainhaven/internal/node"
+	"rainhaven/internal/node/start"
+)
+
+func nodeCommand() *cobra.Command {
+	var level, format string
+	c := &cobra.Command{Use: "node", Short: "Run as a front node of the platform that GW_CONFIG describes, until SIGTERM; SIGHUP reads that file again",
+		Example: "  GW_CONFIG=/run/balancer/config.json rainhaven node", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			signals := make(chan os.Signal, 4)
+			signal.Notify(signals, syscall.SIGHUP, syscall.SIGINT, syscall.SIGTERM)
+			defer signal.Stop(signals)
+			log, err := logger(level, format)
+			if err != nil {
+				return err
+			}
+			defer log.Sync()
+			path := os.Getenv("GW_CONFIG")
+			if path == "" {
+				return failed("GW_CONFIG names no configuration file")
+			}
+			read := func() (*start.Start, error) { return start.Read(path) }
+			s, err := read()
+			if err != nil {
+				return failed("%s: %w", path, err)
+			}
+			runtime.GOMAXPROCS(1)
+			if s.MemoryMB > 0 {
+				// Three fifths for the heap: the rest is for stacks, the program itself and what the kernel counts.
+				debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * 3 / 5)
+			}
+			code, err := node.Run(node.Options{Start: s, Reread: read, Log: log, Signals: signals})
+			if err != nil {
+				return failure{int(code), fmt.Errorf("node: %w", err)}
+			}
+			return nil
+		}}
+	logFlags(c, &level, &format)
+	return c
+}
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -89,30 +89,5 @@
 	}
 	f := h.fronts[e.Front]
 	f.At(now)
-	switch e.Kind {
-	case wire.Directory:
-		f.Directory(e.Whole, e.List)
-	case wire.Ask:
-		f.Ask(e.Request)
-	case wire.Handed:
-		f.Handed(e.Request, e.Server)
-	case wire.Left:
-		f.Left(e.Request.ID)
-	case wire.Playing:
-		f.Playing(e.Request.ID)
-	case wire.Ended:
-		f.Ended(e.Request.ID, e.Server, e.Outcome, e.Final, e.Report)
-	case wire.Probed:
-		f.Probed(e.Server, e.Outcome, e.Report)
-	case wire.Due:
-		f.Due()
-	case wire.Short:
-		f.Short(e.Server, e.Value)
-	case wire.InForce:
-		f.InForce(e.Request.ID, int(e.Value))
-	case wire.Message:
-		f.Told(e.Words)
-	case wire.Load, wire.UplinkLoad:
-		f.Load(e.Request.ID, e.Server, e.Value, e.Kind == wire.UplinkLoad)
-	}
+	e.Feed(f)
 }
--- /dev/null
+++ b/internal/node/conn.go
@@ -0,0 +1,150 @@
+package node
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"rainhaven/internal/rtsp"
+)
+
+const (
+	// mostQueued is how many bytes wait for a peer that does not read; then its connection is closed. Usual messages
+	// have some 200 bytes.
+	mostQueued = 64 << 10
+	// stall is how long one write may take.
+	stall = 2 * time.Second
+	// whole is how long a message may take from its first byte on.
+	whole = time.Second
+	// parting is how long a connection that is being closed still discards what comes, and mostParting how much.
+	parting, mostParting = 500 * time.Millisecond, 256 << 10
+)
+
+// bounds are the protocol's: no message exceeds 16 KiB. There are no frames.
+var bounds = rtsp.Bounds{Line: 4096, Headers: 40, Body: 16 << 10, Whole: 16 << 10, Frame: 1, Buffer: 16 << 10}
+
+// conn is a connection's sending side: what is queued is written by a goroutine of its own, in order.
+type conn struct {
+	nc      net.Conn
+	mu      sync.Mutex
+	out     []byte // at most mostQueued
+	queued  int64  // bytes ever queued
+	written int64  // bytes that left
+	ending  bool   // nothing more is queued; close once all is written
+	failed  bool
+	wake    chan struct{}
+	ended   chan struct{} // closed when the writer is through
+}
+
+func newConn(nc net.Conn) *conn {
+	c := &conn{nc: nc, wake: make(chan struct{}, 1), ended: make(chan struct{})}
+	go c.write()
+	return c
+}
+
+// send queues bytes and gives where they begin and end in all that is sent; the start is below 0 where they are not queued.
+func (c *conn) send(b []byte) (from, to int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ending || c.failed {
+		return -1, -1
+	}
+	if len(c.out)+len(b) > mostQueued {
+		c.failed = true
+		c.nc.Close()
+		c.poke()
+		return -1, -1
+	}
+	from = c.queued
+	c.out = append(c.out, b...)
+	c.queued += int64(len(b))
+	c.poke()
+	return from, c.queued
+}
+
+func (c *conn) poke() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// end closes the connection once what is queued was written.
+func (c *conn) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ending {
+		c.ending = true
+		c.nc.SetReadDeadline(time.Now().Add(parting))
+		c.poke()
+	}
+}
+
+func (c *conn) isEnding() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ending || c.failed
+}
+
+// close ends it at once; left tells how many bytes left, for good.
+func (c *conn) close() (left int64) {
+	c.mu.Lock()
+	c.failed = true
+	c.poke()
+	c.mu.Unlock()
+	c.nc.Close()
+	<-c.ended
+	return c.written
+}
+
+func (c *conn) write() {
+	defer close(c.ended)
+	var spare []byte
+	for {
+		c.mu.Lock()
+		b := c.out
+		if c.failed || len(b) == 0 && c.ending {
+			failed := c.failed
+			c.mu.Unlock()
+			if !failed {
+				if t, ok := c.nc.(*net.TCPConn); ok {
+					t.CloseWrite()
+				}
+			}
+			return
+		}
+		c.out = spare[:0]
+		c.mu.Unlock()
+		if len(b) == 0 {
+			<-c.wake
+			continue
+		}
+		c.nc.SetWriteDeadline(time.Now().Add(stall))
+		n, err := c.nc.Write(b)
+		c.mu.Lock()
+		c.written += int64(n)
+		if err != nil {
+			c.failed = true
+		}
+		c.mu.Unlock()
+		if err != nil {
+			c.nc.Close() // its reader tells the loop
+			return
+		}
+		if spare = b; cap(spare) > 4<<10 {
+			spare = nil
+		}
+	}
+}
+
+// discard takes what still comes on a connection that is being closed.
+func (c *conn) discard() {
+	c.nc.SetReadDeadline(time.Now().Add(parting))
+	var b [4 << 10]byte
+	for left := mostParting; left > 0; {
+		n, err := c.nc.Read(b[:])
+		if left -= n; err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/feed/event.go
@@ -0,0 +1,72 @@
+// Package feed speaks with the platform's coordinator: numbered changes to the list of servers, each taken once and in
+// order, over a connection that may break, fall silent, double events or stop within one.
+package feed
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"slices"
+
+	"rainhaven/choice"
+)
+
+// Event is one change to the list, as the coordinator writes it.
+type Event struct {
+	Index     int64
+	Endpoints struct {
+		Reset     bool
+		Instances []Instance
+	}
+}
+
+// Instance is one server's entry.
+type Instance struct {
+	ID          string `json:"instanceId"`
+	Addr        string `json:"hostPort"`
+	Zone        string `json:"zone"`
+	Kind        string `json:"machineType"`
+	Cell        int    `json:"cell"`
+	State       string `json:"lifecycle"`
+	Weight      float64
+	StartedAtMs float64 `json:"startedAtMs"`
+}
+
+var states = map[string]choice.Lifecycle{"up": choice.Ready, "draining": choice.Draining, "removed": choice.Gone}
+
+// Names are those of zones and kinds of machine, by number.
+type Names struct{ Zones, Kinds []string }
+
+// Listing puts an entry into the module's words; the id is the caller's. A zone or kind that is not among the names
+// counts as the first.
+func (n Names) Listing(id choice.ServerID, i Instance) (choice.Listing, error) {
+	st, ok := states[i.State]
+	if !ok || i.Cell < 0 {
+		return choice.Listing{}, fmt.Errorf("server %.40q: state %.20q, cell %d", i.ID, i.State, i.Cell)
+	}
+	return choice.Listing{ID: id, Zone: max(slices.Index(n.Zones, i.Zone), 0), Kind: max(slices.Index(n.Kinds, i.Kind), 0),
+		Cell: i.Cell, State: st, Heft: i.Weight, Born: i.StartedAtMs / 1000}, nil
+}
+
+// Number makes the module's number of a server's id, alike at all fronts; taken tells whether it has one already.
+func Number(id string, taken func(choice.ServerID) bool) choice.ServerID {
+	h := fnv.New32a()
+	h.Write([]byte(id))
+	n := choice.ServerID(h.Sum32())
+	for taken(n) {
+		n++
+	}
+	return n
+}
+
+// line reads one line of the coordinator's: an event, or the last number alone.
+func line(b []byte) (e Event, last int64, err error) {
+	if len(b) > 0 && b[0] != '{' {
+		err = json.Unmarshal(b, &last)
+		return e, last, err
+	}
+	if err = json.Unmarshal(b, &e); err == nil && e.Index <= 0 {
+		err = fmt.Errorf("an event without a number")
+	}
+	return e, 0, err
+}
--- /dev/null
+++ b/internal/node/message.go
@@ -0,0 +1,209 @@
+package node
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"rainhaven/choice"
+	"rainhaven/internal/rtsp"
+	"rainhaven/internal/wire"
+)
+
+// The protocol's fields, as rtsp keeps names, and its figures.
+const (
+	fieldClass  = "Subject"
+	fieldWait   = "X-Patience"
+	fieldFacts  = "X-Facts"
+	fieldRung   = "X-Quality"
+	fieldState  = "X-State"
+	fieldNote   = "X-Note"
+	fieldFigure = "X-Reading"
+	fieldLater  = "X-Later-Ms"
+	fieldReason = "Reason"
+
+	root = "rtsp://media/"
+
+	causeOver  = 16 // it has come to its end
+	causeMoved = 31 // ended by its viewer, or moved
+	causeCut   = 41
+
+	seqSetup, seqTearDown, seqOptions = "1", "2", "3"
+)
+
+// noteKinds are the kinds of a server's notes by their names.
+var noteKinds = map[string]wire.Kind{"served": wire.Note(1), "at_rung": wire.Note(2), "link_use": wire.Note(3), "rack_use": wire.Note(4)}
+
+// ask is what a viewer's SETUP says.
+type ask struct {
+	id, class, url string
+	group          int
+	body           []byte
+	patience       float64 // seconds
+	request        choice.Request
+	at             string // the server where it stands already
+}
+
+// validID tells whether a session's id is one: 16 hex digits.
+func validID(id string) bool {
+	if len(id) != 16 {
+		return false
+	}
+	for i := range len(id) {
+		if c := id[i]; (c < '0' || c > '9') && (c < 'a' || c > 'f') && (c < 'A' || c > 'F') {
+			return false
+		}
+	}
+	return true
+}
+
+// mostPatience is past any setup timeout; against figures that are out of range.
+const mostPatience = 600_000
+
+// readAsk reads a viewer's SETUP; what is wrong with it is an error.
+func (n *Node) readAsk(m *rtsp.Message) (a ask, err error) {
+	a = ask{id: m.Session(), class: m.Header.Get(fieldClass), url: m.URL, body: m.Body}
+	title, ok := strings.CutPrefix(m.URL, root)
+	if !ok || title == "" || len(title) > 256 {
+		return a, fmt.Errorf("address %.60q", m.URL)
+	}
+	if !validID(a.id) || len(m.Header["Session"]) > 1 {
+		return a, fmt.Errorf("session id %.30q", a.id)
+	}
+	for a.group = 0; a.group < len(n.start.Groups) && n.start.Groups[a.group] != a.class; a.group++ {
+	}
+	if a.group == len(n.start.Groups) {
+		return a, fmt.Errorf("class %.30q", a.class)
+	}
+	figures := n.start.Figures
+	a.request = choice.Request{ID: choice.SessID(a.id), Group: a.group, Title: title, Span: 1, BestRung: len(figures.Ladder) - 1}
+	for _, pair := range strings.Split(m.Header.Get(fieldFacts), ";") {
+		name, value, _ := strings.Cut(strings.TrimSpace(pair), ":")
+		var to *int
+		least, most := 0, max(figures.Cells, 1)-1
+		switch name {
+		case "home":
+			to = &a.request.StartCell
+		case "copies":
+			to, least, most = &a.request.Span, 1, max(figures.Cells, 1)
+		case "top":
+			to, most = &a.request.BestRung, len(figures.Ladder)-1
+		case "at":
+			if a.at = value; value == "" {
+				return a, fmt.Errorf("at no server")
+			}
+			continue
+		default:
+			continue
+		}
+		x, err := strconv.Atoi(value)
+		if err != nil || x < least || x > most {
+			return a, fmt.Errorf("%s:%.20s", name, value)
+		}
+		*to = x
+	}
+	if a.at != "" {
+		return a, nil
+	}
+	ms, err := strconv.Atoi(m.Header.Get(fieldWait))
+	if err != nil || ms <= 0 || ms > mostPatience {
+		return a, fmt.Errorf("patience %.20q", m.Header.Get(fieldWait))
+	}
+	a.patience = float64(ms) / 1000
+	return a, nil
+}
+
+// readReport reads a server's load report; what can't be read says nothing.
+func readReport(m *rtsp.Message) choice.Report {
+	none := choice.Report{Link: -1, Uplink: -1}
+	r, err := wire.ReadReport(strings.NewReplacer(";", ",", " ", "").Replace(m.Header.Get(fieldState)))
+	if err != nil {
+		return none
+	}
+	if !sane(r.Link) {
+		r.Link = -1
+	}
+	if !sane(r.Uplink) {
+		r.Uplink = -1
+	}
+	return r
+}
+
+// sane tells whether a load can be true: against a broken server's figures, which would stay in smoothed ones.
+func sane(x float64) bool { return x >= 0 && x <= 100 }
+
+// cause reads the Reason field; 0 is none.
+func cause(m *rtsp.Message) int {
+	_, v, ok := strings.Cut(m.Header.Get(fieldReason), "cause=")
+	if !ok {
+		return 0
+	}
+	if i := strings.IndexFunc(v, func(r rune) bool { return r < '0' || r > '9' }); i >= 0 {
+		v = v[:i]
+	}
+	c, _ := strconv.Atoi(v)
+	return c
+}
+
+func message(m *rtsp.Message, seq, id string) *rtsp.Message {
+	m.Header["Content-Length"] = nil
+	if seq != "" {
+		m.Header["Cseq"] = []string{seq}
+	}
+	if id != "" {
+		m.Header["Session"] = []string{id}
+	}
+	return m
+}
+
+// response makes a response to a request, for its session.
+func response(to *rtsp.Message, status int) []byte {
+	id := to.Session()
+	if len(id) > 64 {
+		id = ""
+	}
+	return message(rtsp.Response(to, status), "", id).Append(nil)
+}
+
+// served is the answer to a session's SETUP: the server's own description.
+func served(id string, body []byte) []byte {
+	m := message(&rtsp.Message{Status: rtsp.OK, Header: rtsp.Header{}}, seqSetup, id)
+	m.Body = body
+	return m.Append(nil)
+}
+
+// refusal is the answer that refuses a session's SETUP.
+func refusal(id string, status int, comeBack float64) []byte {
+	m := message(&rtsp.Message{Status: status, Header: rtsp.Header{}}, seqSetup, id)
+	if comeBack > 0 {
+		m.With(fieldLater, strconv.Itoa(int(math.Ceil(comeBack*1000))))
+	}
+	return m.Append(nil)
+}
+
+// tearDown gives a SETUP up, or, with a cause, releases a session that stands.
+func tearDown(url, id string, cause int) []byte {
+	m := message(rtsp.Request(rtsp.TearDown, url), seqTearDown, id)
+	if cause > 0 {
+		m.With(fieldReason, "cause="+strconv.Itoa(cause))
+	}
+	return m.Append(nil)
+}
+
+func setup(s *sess, wait float64) []byte {
+	m := message(rtsp.Request(rtsp.Setup, s.url), seqSetup, s.id)
+	m.With(fieldClass, s.class)
+	m.With(fieldWait, strconv.Itoa(max(int(math.Ceil(wait*1000)), 1)))
+	m.With(fieldRung, strconv.Itoa(s.rung))
+	m.Body = s.body
+	return m.Append(nil)
+}
+
+func newRung(s *sess) []byte {
+	return message(rtsp.Request(rtsp.SetParameter, s.url), "4", s.id).With(fieldRung, strconv.Itoa(s.rung)).Append(nil)
+}
+
+func test(id string) []byte {
+	return message(rtsp.Request(rtsp.Options, root+"load"), seqOptions, id).Append(nil)
+}
--- /dev/null
+++ b/internal/node/start/start.go
@@ -0,0 +1,142 @@
+// Package start reads the file that the platform gives a front node at its start and at each reload. Its settings are
+// the simulator's first message as nested objects, so internal/wire reads them, by the same names.
+package start
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+
+	"rainhaven/choice"
+	"rainhaven/internal/node/feed"
+	"rainhaven/internal/wire"
+)
+
+// Start is what a front node begins with.
+type Start struct {
+	Name, Listen string
+	Coordinator  string // its address
+	MemoryMB     int
+	Sockets      int // descriptors at most
+	Index        int64
+	Known        []feed.Event
+	Names        feed.Names
+	Figures      choice.StartFigures
+	Groups       []string // service groups' names, by number
+	SetupTimeout float64  // the longest that a service group has, in seconds
+	Connect      float64  // seconds that a connection to a server may take
+	Idle         float64  // seconds after which idle ones are closed
+	Streams      int      // SETUPs that one connection may carry together
+}
+
+type file struct {
+	Name, Listen, Seed, Coordinator string
+	Limits                          struct {
+		MemoryMB int `json:"memory_mb"`
+		Sockets  int
+	}
+	Known struct {
+		Index   int64
+		Updates []feed.Event
+	}
+	Settings map[string]any
+}
+
+// Read reads the file.
+func Read(path string) (*Start, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(b)
+}
+
+// Parse reads a file's text.
+func Parse(text []byte) (*Start, error) {
+	var f file
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, err
+	}
+	flat := map[string]string{}
+	flatten("", f.Settings, flat)
+	figures, err := wire.Figures(flat)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if figures.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("seed %.30q is not a number in hex", f.Seed)
+	}
+	s := &Start{Name: f.Name, Listen: f.Listen, Coordinator: f.Coordinator, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets,
+		Index: f.Known.Index, Known: f.Known.Updates, Figures: figures}
+	if len(figures.Groups) == 0 || len(figures.Ladder) == 0 {
+		return nil, fmt.Errorf("settings: no service groups or no ladder")
+	}
+	for i, g := range figures.Groups {
+		if g.Floor < 0 || g.Top >= len(figures.Ladder) || g.Floor > g.Top {
+			return nil, fmt.Errorf("settings: service group %d has rungs %d to %d of %d", i, g.Floor, g.Top, len(figures.Ladder))
+		}
+		at := fmt.Sprintf("grades.%d.", i)
+		s.Groups = append(s.Groups, flat[at+"name"])
+		us, _ := strconv.ParseFloat(flat[at+"hard_limit"], 64)
+		s.SetupTimeout = max(s.SetupTimeout, us/1e6)
+	}
+	s.Connect, s.Idle = micro(flat["caps.connect_timeout"]), micro(flat["caps.keepalive"])
+	s.Streams, _ = strconv.Atoi(flat["caps.streams_per_conn"])
+	s.Names = feed.Names{Zones: list(flat["zones"]), Kinds: list(flat["models"])}
+	return s, nil
+}
+
+func micro(s string) float64 {
+	us, _ := strconv.ParseFloat(s, 64)
+	return us / 1e6
+}
+
+func list(s string) []string {
+	if s == "" {
+		return nil
+	}
+	return strings.Split(s, ",")
+}
+
+// flatten puts nested values under the names that the simulator's first message has.
+func flatten(name string, v any, to map[string]string) {
+	switch v := v.(type) {
+	case map[string]any:
+		for k, x := range v {
+			if name != "" {
+				k = name + "." + k
+			}
+			flatten(k, x, to)
+		}
+	case []any:
+		var flat []string
+		for i, x := range v {
+			if _, deep := x.(map[string]any); deep {
+				flatten(name+"."+strconv.Itoa(i), x, to)
+				to[name+".count"] = strconv.Itoa(i + 1)
+			} else {
+				flat = append(flat, scalar(x))
+			}
+		}
+		if len(flat) > 0 {
+			to[name] = strings.Join(flat, ",")
+		}
+	case nil:
+	default:
+		to[name] = scalar(v)
+	}
+}
+
+func scalar(v any) string {
+	switch v := v.(type) {
+	case float64:
+		return strconv.FormatFloat(v, 'f', -1, 64)
+	case bool:
+		return strconv.FormatBool(v)
+	case string:
+		return v
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/node/viewer.go
@@ -0,0 +1,249 @@
+package node
+
+import (
+	"errors"
+	"net"
+	"slices"
+	"time"
+
+	"rainhaven/choice/share"
+	"rainhaven/internal/rtsp"
+)
+
+// viewer is one of the viewers' connections, which carries many sessions.
+type viewer struct {
+	*conn
+	share.Holding
+	used   float64 // when it last had something of a session's to do
+	wrong  int
+	proven bool // a session was served on it
+	closed bool
+	held   []*sess // asked or standing with this connection; emptied as they end
+}
+
+// accept takes viewers' connections until the listener is closed.
+func (n *Node) accept(l net.Listener) {
+	defer n.wg.Done()
+	for {
+		nc, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // descriptors are short: those that give way free some
+			n.tell(event{do: n.makeRoom})
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		v := &viewer{conn: newConn(nc)}
+		if !n.tell(event{do: func() { n.opened(v) }}) {
+			v.close()
+			return
+		}
+		n.wg.Add(1)
+		go n.readViewer(v)
+	}
+}
+
+// readViewer hands the loop what a viewer sends, until its connection ends.
+func (n *Node) readViewer(v *viewer) {
+	defer n.wg.Done()
+	in := rtsp.NewConn(v.nc, bounds)
+	v.nc.SetReadDeadline(time.Now().Add(time.Duration(share.Begin * float64(time.Second))))
+	for first := true; ; first = false {
+		err := in.Await()
+		if err == nil && !first {
+			v.nc.SetReadDeadline(time.Now().Add(time.Duration(share.Begin * float64(time.Second))))
+		}
+		var m *rtsp.Message
+		if err == nil {
+			m, _, err = in.Next()
+		}
+		if err == nil && m != nil {
+			if !v.isEnding() {
+				v.nc.SetReadDeadline(time.Time{})
+			}
+			if !n.tell(event{do: func() { n.heardViewer(v, m) }}) {
+				break
+			}
+			continue
+		}
+		var bad *rtsp.MalformedError
+		if errors.As(err, &bad) || err == nil {
+			if !n.tell(event{do: func() { n.malformed(v, bad) }}) {
+				break
+			}
+			v.discard()
+		}
+		break
+	}
+	v.close()
+	n.tell(event{do: func() { n.closedViewer(v) }})
+}
+
+func (n *Node) opened(v *viewer) {
+	v.Since, v.used = n.now, n.now
+	n.viewers = append(n.viewers, v)
+	n.makeRoom()
+}
+
+// makeRoom closes viewers' connections past their share of descriptors: those who give way first.
+func (n *Node) makeRoom() {
+	most := share.Viewers(n.start.Sockets)
+	open := 0
+	for _, v := range n.viewers {
+		if !v.isEnding() {
+			open++
+		}
+	}
+	for ; open > most; open-- {
+		var first *viewer
+		for _, v := range n.viewers {
+			if r := v.Rank(); r >= 0 && !v.isEnding() && (first == nil || r < first.Rank()) {
+				first = v
+			}
+		}
+		if first == nil {
+			return
+		}
+		first.end()
+	}
+}
+
+// sweep closes viewers' connections that have had no session for long.
+func (n *Node) sweep() {
+	for _, v := range n.viewers {
+		if v.Spoke && v.Open == 0 && v.Standing == 0 && n.now-v.used > share.Unused && !v.isEnding() {
+			v.end()
+		}
+	}
+}
+
+// malformed answers what can't be read, and ends the connection: where its next message begins can't be known.
+func (n *Node) malformed(v *viewer, bad *rtsp.MalformedError) {
+	n.wrongs++
+	status := rtsp.BadRequest
+	r := &rtsp.Message{Header: rtsp.Header{}}
+	if bad != nil {
+		if bad.Status != 0 {
+			status = bad.Status
+		}
+		if bad.CSeq != "" {
+			r.Header["Cseq"] = []string{bad.CSeq}
+		}
+	}
+	n.abandon(v, true)
+	v.send(response(r, status))
+	v.end()
+}
+
+// abandon ends the requests of a connection that are without their answers; they get one only if it is wanted.
+func (n *Node) abandon(v *viewer, answer bool) {
+	if v.Open == 0 {
+		return
+	}
+	for _, s := range slices.Clone(v.held) {
+		if s.state == standing {
+			continue
+		}
+		if answer {
+			v.send(refusal(s.id, rtsp.InternalError, 0))
+		}
+		n.giveUp(s)
+	}
+}
+
+func (n *Node) closedViewer(v *viewer) {
+	if v.closed {
+		return
+	}
+	v.closed = true
+	n.abandon(v, false)
+	n.viewers = slices.DeleteFunc(n.viewers, func(o *viewer) bool { return o == v })
+	for _, s := range slices.Clone(v.held) {
+		s.viewer = nil
+		if s.answered > v.written { // it never got its answer: nobody plays there
+			n.viewerLeft(s)
+		}
+	}
+}
+
+// heardViewer takes one message of a viewer's.
+func (n *Node) heardViewer(v *viewer, m *rtsp.Message) {
+	if v.closed || v.isEnding() {
+		return
+	}
+	v.Spoke, v.used = true, n.now
+	switch m.Method {
+	case rtsp.Setup:
+		n.setup(v, m)
+	case rtsp.TearDown:
+		n.withdrawn(v, m)
+	case rtsp.Options:
+		status := rtsp.OK
+		if !n.ready {
+			status = rtsp.ServiceUnavailable
+		}
+		v.send(response(m, status))
+	case "": // a response: to a release, or to nothing of ours
+	case rtsp.Announce, rtsp.Redirect, rtsp.SetParameter: // want no answer
+	default:
+		n.refuseWrong(v, m, rtsp.NotImplemented)
+	}
+}
+
+// refuseWrong refuses a request that makes no sense, and closes connections that send many.
+func (n *Node) refuseWrong(v *viewer, m *rtsp.Message, status int) {
+	n.wrongs++
+	v.send(response(m, status))
+	if v.wrong++; v.wrong >= share.Wrong && v.Open == 0 && v.Standing == 0 {
+		v.end()
+	}
+}
+
+func (n *Node) setup(v *viewer, m *rtsp.Message) {
+	a, err := n.readAsk(m)
+	if err != nil {
+		n.log.Debug("refused a SETUP", str("why", err.Error()))
+		n.refuseWrong(v, m, rtsp.BadRequest)
+		return
+	}
+	if a.at != "" {
+		n.handed(v, a)
+		return
+	}
+	if old := n.sess[a.id]; old != nil {
+		// Two requests under one id: answers are matched by it, so on one connection both get the one.
+		n.refuseWrong(v, m, rtsp.BadRequest)
+		if old.viewer == v && old.state != standing {
+			n.giveUp(old)
+		}
+		return
+	}
+	if v.Open >= share.Open || n.open >= share.OpenInAll {
+		v.send(response(m, rtsp.ServiceUnavailable))
+		return
+	}
+	n.ask(v, a)
+}
+
+// withdrawn takes a TEARDOWN: a SETUP is given up, or a session that stands is over, from any connection.
+func (n *Node) withdrawn(v *viewer, m *rtsp.Message) {
+	s := n.sess[m.Session()]
+	if s == nil {
+		if !validID(m.Session()) {
+			n.refuseWrong(v, m, rtsp.BadRequest)
+			return
+		}
+		v.send(response(m, rtsp.OK))
+		return
+	}
+	if s.state != standing {
+		if s.viewer == v {
+			n.giveUp(s)
+			v.send(response(m, rtsp.OK))
+		}
+		return
+	}
+	n.viewerLeft(s)
+	v.send(response(m, rtsp.OK))
+}
--- a/internal/rtsp/buffer.go
+++ b/internal/rtsp/buffer.go
@@ -24,6 +24,7 @@
 	from, to int
 	full     bool // the last read filled all that was free
 	small    int  // reads in a row that took little of a large buffer
+	most     int  // bytes held ahead
 }
 
 func (u *buffer) buffered() int { return u.to - u.from }
@@ -36,7 +37,7 @@
 		for size = max(size, leastBuffer); size < need; size *= 2 {
 		}
 	case u.full:
-		size = min(2*size, mostBuffer)
+		size = min(2*size, max(u.most, size))
 	case u.small > 64 && size > leastBuffer && u.buffered() < leastBuffer && need <= leastBuffer:
 		size, u.small = leastBuffer, 0
 	}
--- a/internal/rtsp/conn.go
+++ b/internal/rtsp/conn.go
@@ -1,11 +1,13 @@
 package rtsp
 
 import (
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"time"
 )
 
@@ -20,7 +22,7 @@
 // NewConn reads from c within bounds.
 func NewConn(c net.Conn, bounds Bounds) *Conn {
 	bounds = bounds.orUsual()
-	return &Conn{Conn: c, in: buffer{r: c}, bounds: bounds}
+	return &Conn{Conn: c, in: buffer{r: c, most: bounds.Buffer}, bounds: bounds}
 }
 
 // Frame is an interleaved frame (RFC 2326, section 10.12). Whole holds its four bytes of header and its payload,
@@ -121,3 +123,39 @@
 		}
 	}
 }
+
+// Astray tells whether what was received beyond the last message can't begin another one: then that message's length
+// was wrong, and what was taken for its body is not whole. Of a start that is not whole yet it tells what it can.
+func (c *Conn) Astray() bool {
+	b := bytes.TrimLeft(c.in.b[c.in.from:c.in.to], "\r\n")
+	if len(b) == 0 || b[0] == '$' {
+		return false
+	}
+	if i := bytes.IndexByte(b, '\n'); i >= 0 {
+		return new(Message).startLine(strings.TrimRight(string(b[:i]), "\r")) != nil
+	}
+	word, _, whole := bytes.Cut(b, []byte(" "))
+	if bytes.HasPrefix(word, []byte("RTSP/")) {
+		return whole && !new(Message).version(string(word))
+	}
+	for _, x := range word { // methods are words in capitals
+		if (x < 'A' || x > 'Z') && x != '_' {
+			return !bytes.HasPrefix([]byte("RTSP/"), word)
+		}
+	}
+	return len(word) > 32
+}
+
+// Await waits until a byte of a message was received; line ends between messages are skipped.
+func (c *Conn) Await() error {
+	for {
+		first, err := c.in.peek(1)
+		if err != nil {
+			return err
+		}
+		if first[0] != '\r' && first[0] != '\n' {
+			return nil
+		}
+		c.in.discard(1)
+	}
+}
--- a/internal/rtsp/message.go
+++ b/internal/rtsp/message.go
@@ -160,7 +160,8 @@
 			b = fmt.Appendf(b, "%s: %s\r\n", as, clean(v))
 		}
 	}
-	if len(m.Body) > 0 {
+	// Peers that want a length on every message have it asked for by the field.
+	if _, asked := m.Header["Content-Length"]; asked || len(m.Body) > 0 {
 		b = fmt.Appendf(b, "Content-Length: %d\r\n", len(m.Body))
 	}
 	b = append(b, "\r\n"...)
@@ -181,11 +182,13 @@
 	Headers int // lines of a header
 	Body    int // bytes
 	Frame   int // bytes of an interleaved frame's payload, at most 65535
+	Whole   int // bytes of a message's lines and body together
+	Buffer  int // bytes that are received ahead
 }
 
 // Usual holds the limits in force where none are set: a line of 4 kB holds any URL that players make, 64 header
 // lines are three times what the fullest message of RFC 2326's examples has, and no description here passes 64 kB.
-var Usual = Bounds{Line: 4096, Headers: 64, Body: 64 << 10, Frame: 65535}
+var Usual = Bounds{Line: 4096, Headers: 64, Body: 64 << 10, Frame: 65535, Whole: 512 << 10, Buffer: mostBuffer}
 
 func (b Bounds) orUsual() Bounds {
 	or := func(v *int, usual int) {
@@ -197,6 +200,8 @@
 	or(&b.Headers, Usual.Headers)
 	or(&b.Body, Usual.Body)
 	or(&b.Frame, Usual.Frame)
+	or(&b.Whole, Usual.Whole)
+	or(&b.Buffer, Usual.Buffer)
 	return b
 }
 
@@ -306,9 +311,10 @@
 		}
 		return err
 	}
-	last := ""
+	last, whole := "", len(line)
 	for n := 0; ; n++ {
 		line, err := c.readLine()
+		whole += len(line)
 		if err == errLine {
 			return nil, fail(malformed(TooLarge, "a header line of over %d bytes", c.bounds.Line))
 		}
@@ -321,8 +327,8 @@
 		if line == "" {
 			break
 		}
-		if n >= c.bounds.Headers {
-			return nil, fail(malformed(TooLarge, "over %d header lines", c.bounds.Headers))
+		if n >= c.bounds.Headers || whole > c.bounds.Whole {
+			return nil, fail(malformed(TooLarge, "%d header lines of %d bytes", n+1, whole))
 		}
 		if line[0] == ' ' || line[0] == '\t' { // a folded line continues the field before
 			if last == "" {
@@ -350,7 +356,7 @@
 		if err != nil || n < 0 || len(v) > 1 {
 			return nil, fail(malformed(BadRequest, "Content-Length %.20q", v[0]))
 		}
-		if n > c.bounds.Body {
+		if n > c.bounds.Body || n > c.bounds.Whole-whole {
 			return nil, fail(malformed(TooLarge, "a body of %d bytes", n))
 		}
 		m.Body = make([]byte, n)
--- a/internal/wire/start.go
+++ b/internal/wire/start.go
@@ -8,7 +8,7 @@
 	"rainhaven/choice"
 )
 
-// start reads a front's first message. What a site leaves out stays at its zero, which switches it off.
+// start reads a front's first message.
 func start(rest string) (Event, error) {
 	f, err := fields(rest)
 	if err != nil {
@@ -16,12 +16,22 @@
 	}
 	g := &getter{f: f}
 	e := Event{Kind: Start, Front: g.text("i")}
-	s := &e.Figures
 	seed, err := strconv.ParseUint(f["salt"], 10, 64)
 	if err != nil {
 		g.fail(fmt.Errorf("salt=%q is not a whole number", f["salt"]))
 	}
-	s.Seed = seed
+	g.fail(err)
+	e.Figures, err = Figures(f)
+	e.Figures.Seed = seed
+	g.fail(err)
+	return e, g.err
+}
+
+// Figures reads what a front is told at its start, by the names of the simulator's first message; lists are separated
+// by commas, and entries of a list of objects are numbered. What a site leaves out stays at its zero, which switches
+// it off. The seed is the caller's.
+func Figures(f map[string]string) (s choice.StartFigures, err error) {
+	g := &getter{f: f}
 	s.Me, s.Fronts, s.Zone = g.whole("me", false), g.whole("balancers", false), g.whole("zone", false)
 	fam := "family_info."
 	s.Cells, s.Racks = g.whole(fam+"cells", false), g.whole(fam+"cabinets", false)
@@ -60,7 +70,7 @@
 			s.Groups[i].Adds = g.optional(fam + "shared_adds")
 		}
 	}
-	return e, g.err
+	return s, g.err
 }
 
 func nth(list []float64, i int, otherwise float64) float64 {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -52,6 +52,36 @@
 	Words   []byte
 }
 
+// Feed tells a front of an event; Start and Stop are its host's affair.
+func (e *Event) Feed(f *choice.Front) {
+	switch e.Kind {
+	case Directory:
+		f.Directory(e.Whole, e.List)
+	case Ask:
+		f.Ask(e.Request)
+	case Handed:
+		f.Handed(e.Request, e.Server)
+	case Left:
+		f.Left(e.Request.ID)
+	case Playing:
+		f.Playing(e.Request.ID)
+	case Ended:
+		f.Ended(e.Request.ID, e.Server, e.Outcome, e.Final, e.Report)
+	case Probed:
+		f.Probed(e.Server, e.Outcome, e.Report)
+	case Due:
+		f.Due()
+	case Short:
+		f.Short(e.Server, e.Value)
+	case InForce:
+		f.InForce(e.Request.ID, int(e.Value))
+	case Message:
+		f.Told(e.Words)
+	case Load, UplinkLoad:
+		f.Load(e.Request.ID, e.Server, e.Value, e.Kind == UplinkLoad)
+	}
+}
+
 // Reader reads batches.
 type Reader struct {
 	in    *bufio.Reader
@@ -228,21 +258,12 @@
 			g.fail(fmt.Errorf("outcome=%d is unknown", e.Outcome))
 		}
 		var err error
-		if e.Report, err = report(f["telemetry"]); err != nil {
+		if e.Report, err = ReadReport(f["telemetry"]); err != nil {
 			g.fail(err)
 		}
 	case "PROGRESS":
 		e.Request.ID, e.Server, e.Value = choice.SessID(g.text("xid")), g.server("server"), g.number("value")
-		switch g.whole("sort", true) {
-		case 1:
-			e.Kind = Short
-		case 2:
-			e.Kind = InForce
-		case 3:
-			e.Kind = Load
-		case 4:
-			e.Kind = UplinkLoad
-		}
+		e.Kind = Note(g.whole("sort", true))
 	case "REMINDER":
 		e.Kind = Due
 	default:
@@ -251,7 +272,19 @@
 	return e, g.err
 }
 
-func report(s string) (choice.Report, error) {
+// notes are the kinds of note by number, from 1.
+var notes = [...]Kind{Ignored, Short, InForce, Load, UplinkLoad}
+
+// Note is the kind of a note by its number; Ignored where there is none of that number.
+func Note(n int) Kind {
+	if n < 1 || n >= len(notes) {
+		return Ignored
+	}
+	return notes[n]
+}
+
+// ReadReport reads a load report: names and values, separated by commas.
+func ReadReport(s string) (choice.Report, error) {
 	r := choice.Report{Link: -1, Uplink: -1}
 	if s == "" || s == "-" {
 		return r, nil
