--- a/choice/vigil/vigil.go
+++ b/choice/vigil/vigil.go
@@ -20,7 +20,7 @@
 	heard, tried, tested float64
 }
 
-// Heard tells that something came from the server, or that it took a connection.
+// Heard tells that a message came from the server; that a connection was taken proves no living process.
 func (w *Watch) Heard(now float64) { w.heard = now }
 
 // Do is what a look at a server asks for.
--- /dev/null
+++ b/choice/vigil/vigil_test.go
@@ -0,0 +1,69 @@
+package vigil
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// days plays a server that answers tests or not, and gives when its sessions counted as lost, 0 for never.
+func days(until float64, up func(now float64) int, answers func(now float64) bool) (lost float64, tests, connects int) {
+	var w Watch
+	for now := 100.0; now < 100+until; now += 0.1 {
+		d := w.Look(now, up(now), false)
+		if d.Lost {
+			return now - 100, tests, connects
+		}
+		if d.Test {
+			tests++
+			if answers(now) {
+				w.Heard(now)
+			}
+		}
+		if d.Connect {
+			connects++
+		}
+	}
+	return 0, tests, connects
+}
+
+func TestWatch(t *testing.T) {
+	one, none := func(float64) int { return 1 }, func(float64) int { return 0 }
+	yes, no := func(float64) bool { return true }, func(float64) bool { return false }
+	if lost, tests, _ := days(60, one, yes); lost != 0 || tests > 60 {
+		t.Errorf("a quiet server: lost at %v, %d tests", lost, tests)
+	}
+	if lost, tests, _ := days(60, one, no); lost < 3 || lost > 4 || tests < 2 {
+		t.Errorf("a silent server: lost at %v, %d tests", lost, tests)
+	}
+	if lost, _, connects := days(60, none, no); lost < 3 || lost > 4 || connects < 8 || connects > 16 {
+		t.Errorf("no connection: lost at %v, %d tried", lost, connects)
+	}
+	// It stands still for two seconds, as a crowded one does.
+	if lost, _, _ := days(60, one, func(now float64) bool { return now < 110 || now > 112 }); lost != 0 {
+		t.Errorf("a short standstill: lost at %v", lost)
+	}
+}
+
+// A server heard of at least every three seconds is never lost; one never heard of is, within four.
+func TestNeverBetween(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var w Watch
+		now, last := 50.0, 50.0
+		w.Heard(now)
+		for range 200 {
+			now += rapid.Float64Range(0.01, 0.5).Draw(t, "step")
+			d := w.Look(now, rapid.IntRange(0, 3).Draw(t, "up"), rapid.Bool().Draw(t, "opening"))
+			if d.Lost != (now-last >= lost) {
+				t.Fatalf("lost is %v after %v s", d.Lost, now-last)
+			}
+			if d.Connect && d.Test || d.Lost && (d.Connect || d.Test) {
+				t.Fatalf("two things at once: %+v", d)
+			}
+			if d.Lost || rapid.IntRange(0, 5).Draw(t, "heard") == 0 {
+				w.Heard(now)
+				last = now
+			}
+		}
+	})
+}
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -113,12 +113,13 @@
 			}
 			return
 		}
-		c.out = spare[:0]
-		c.mu.Unlock()
-		if len(b) == 0 {
+		if len(b) == 0 { // out and spare must never be one: what is queued would overwrite what is being written
+			c.mu.Unlock()
 			<-c.wake
 			continue
 		}
+		c.out = spare[:0]
+		c.mu.Unlock()
 		c.nc.SetWriteDeadline(time.Now().Add(stall))
 		n, err := c.nc.Write(b)
 		c.mu.Lock()
--- /dev/null
+++ b/internal/node/feed/feed_test.go
@@ -0,0 +1,117 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"rainhaven/choice"
+)
+
+func TestListing(t *testing.T) {
+	names := Names{[]string{"a", "b"}, []string{"small", "large"}}
+	l, err := names.Listing(7, Instance{ID: "s-1", Zone: "b", Kind: "large", Cell: 3, State: "draining", Weight: 2, StartedAtMs: 1500})
+	if want := (choice.Listing{ID: 7, Zone: 1, Kind: 1, Cell: 3, State: choice.Draining, Heft: 2, Born: 1.5}); err != nil || l != want {
+		t.Errorf("%+v %v", l, err)
+	}
+	for _, i := range []Instance{{State: "well"}, {State: "up", Cell: -1}} {
+		if _, err := names.Listing(7, i); err == nil {
+			t.Errorf("%+v is taken", i)
+		}
+	}
+}
+
+func TestNumber(t *testing.T) {
+	none := func(choice.ServerID) bool { return false }
+	a := Number("s-00c41f7a", none)
+	if b := Number("s-00c41f7a", none); a != b {
+		t.Error("not alike at all fronts")
+	}
+	if b := Number("s-00c41f7a", func(x choice.ServerID) bool { return x == a }); b == a {
+		t.Error("two servers share a number")
+	}
+}
+
+// Events come once and in order, whatever the coordinator does between.
+func TestFollow(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	ev := func(i int) string {
+		return fmt.Sprintf(`{"index":%d,"endpoints":{"reset":false,"instances":[]}}`+"\n", i)
+	}
+	says := []string{
+		ev(3) + ev(3) + "3\n" + ev(4)[:20], // breaks off within an event
+		ev(4) + ev(4)[:12],                 // and falls silent within one
+		"not json\n" + ev(5),               // can't be read
+		ev(7),                              // leaves one out
+		ev(5) + "9\n",                      // has more than it told
+		strings.Repeat("1", mostLine+5000) + "\n", // a line without end
+		`{"endpoints":{}}` + "\n",                 // an event without a number
+		ev(6) + ev(5) + "6\n" + "2\n" + ev(7),     // an old one again
+	}
+	var asked []int
+	go func() {
+		for i := 0; ; i++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			n := -1
+			fmt.Fscanf(c, "follow %d\n", &n)
+			asked = append(asked, n)
+			if i < len(says) {
+				c.Write([]byte(says[i]))
+			}
+			if i != 1 && i < len(says)-1 {
+				c.Close()
+			}
+		}
+	}()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var got []int64
+	done := make(chan bool)
+	began := time.Now()
+	go func() {
+		Follow(ctx, l.Addr().String(), 2, func(e Event) bool {
+			if got = append(got, e.Index); e.Index == 7 {
+				cancel()
+			}
+			return true
+		}, func(error) {})
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the events did not come")
+	}
+	if !slices.Equal(got, []int64{3, 4, 5, 6, 7}) {
+		t.Errorf("got %v in %v", got, time.Since(began))
+	}
+	if !slices.Equal(asked[:6], []int{2, 3, 4, 4, 4, 5}) {
+		t.Errorf("asked for %v", asked)
+	}
+}
+
+func FuzzLine(f *testing.F) {
+	f.Add([]byte(`{"index":41,"endpoints":{"generation":7,"reset":false,"instances":[{"instanceId":"s-00c41f7a","cell":2,"lifecycle":"up"}]}}`))
+	f.Add([]byte("12"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		e, last, err := line(b)
+		if err == nil && e.Index > 0 && last != 0 {
+			t.Errorf("both an event and a number: %q", b)
+		}
+		for _, i := range e.Endpoints.Instances {
+			Names{}.Listing(1, i)
+		}
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,14 +63,13 @@
 	wg      sync.WaitGroup
 	events  chan event
 
-	front  *choice.Front
-	life   *lifecycle.Life
-	began  time.Time
-	now    float64
-	due    float64 // the module's wake-up
-	ready  bool
-	over   bool
-	refuse error
+	front *choice.Front
+	life  *lifecycle.Life
+	began time.Time
+	now   float64
+	due   float64 // the module's wake-up
+	ready bool
+	over  bool
 
 	sess    map[string]*sess            // emptied by final answers and ends
 	servers []*server                   // in the order of the list; emptied by settleServer
@@ -130,6 +129,9 @@
 	Reread  func() (*start.Start, error) // the configuration file anew
 	Log     *zap.Logger
 	Signals <-chan os.Signal
+	// Listener is used where it is given, in place of the address of Start.
+	Listener net.Listener
+	serving  func(*Node) // for tests
 }
 
 // Run is a front node from its start to its exit.
@@ -146,9 +148,12 @@
 	for _, e := range o.Start.Known {
 		n.listed(e)
 	}
-	l, err := net.Listen("tcp", o.Start.Listen)
-	if err != nil {
-		return lifecycle.Address, err
+	l := o.Listener
+	if l == nil {
+		var err error
+		if l, err = net.Listen("tcp", o.Start.Listen); err != nil {
+			return lifecycle.Address, err
+		}
 	}
 	defer func() {
 		l.Close()
@@ -172,6 +177,9 @@
 	n.wg.Add(1)
 	go n.accept(l)
 	n.log.Info("serving", str("name", o.Start.Name), str("listen", o.Start.Listen), num("servers", len(n.servers)), num("groups", len(o.Start.Groups)))
+	if o.serving != nil {
+		o.serving(n)
+	}
 	n.loop(o.Signals)
 	n.log.Info("over", zap.Any("counts", n.counts))
 	return 0, nil
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -28,7 +28,6 @@
 	watch   vigil.Watch
 	tested  string // the test that is out; empty is none
 	testOn  *link
-	asked   bool   // the module wants to know
 	tests   int    // counts tests, for their names
 	testing *alarm // its time-out
 }
@@ -155,8 +154,8 @@
 		l.end()
 		return
 	}
+	// That a connection was taken is no sign of life: the system takes it for a process that hangs.
 	l.up, l.used = true, n.now
-	l.sv.watch.Heard(n.now)
 	if l.test {
 		l.test = false
 		n.sendTest(l)
--- a/internal/node/viewer.go
+++ b/internal/node/viewer.go
@@ -49,6 +49,7 @@
 	defer n.wg.Done()
 	in := rtsp.NewConn(v.nc, bounds)
 	v.nc.SetReadDeadline(time.Now().Add(time.Duration(share.Begin * float64(time.Second))))
+	var why error
 	for first := true; ; first = false {
 		err := in.Await()
 		if err == nil && !first {
@@ -67,6 +68,7 @@
 			}
 			continue
 		}
+		why = err
 		var bad *rtsp.MalformedError
 		if errors.As(err, &bad) || err == nil {
 			if !n.tell(event{do: func() { n.malformed(v, bad) }}) {
@@ -77,7 +79,7 @@
 		break
 	}
 	v.close()
-	n.tell(event{do: func() { n.closedViewer(v) }})
+	n.tell(event{do: func() { n.closedViewer(v, why) }})
 }
 
 func (n *Node) opened(v *viewer) {
@@ -152,11 +154,12 @@
 	}
 }
 
-func (n *Node) closedViewer(v *viewer) {
+func (n *Node) closedViewer(v *viewer, why error) {
 	if v.closed {
 		return
 	}
 	v.closed = true
+	n.log.Debug("a viewer's connection ended", str("why", errText(why)), num("open", v.Open), num("standing", v.Standing))
 	n.abandon(v, false)
 	n.viewers = slices.DeleteFunc(n.viewers, func(o *viewer) bool { return o == v })
 	for _, s := range slices.Clone(v.held) {
--- a/internal/rtsp/rtsp_test.go
+++ b/internal/rtsp/rtsp_test.go
@@ -223,3 +223,32 @@
 	e.at = (e.at + n) % len(e.b)
 	return n, nil
 }
+
+// A message's lines and body together stay within their bound, whatever each is.
+func TestWholeMessageBound(t *testing.T) {
+	for in, ok := range map[string]bool{
+		"OPTIONS * RTSP/1.0\r\nX: " + strings.Repeat("a", 150) + "\r\n\r\n":                                                   true,
+		"OPTIONS * RTSP/1.0\r\nX: " + strings.Repeat("a", 150) + "\r\nY: " + strings.Repeat("a", 150) + "\r\n\r\n":            false,
+		"OPTIONS * RTSP/1.0\r\nContent-Length: 100\r\n\r\n" + strings.Repeat("a", 100):                                        true,
+		"OPTIONS * RTSP/1.0\r\nX: " + strings.Repeat("a", 150) + "\r\nContent-Length: 100\r\n\r\n" + strings.Repeat("a", 100): false,
+	} {
+		c := NewConn(input{nil, strings.NewReader(in)}, Bounds{Whole: 256, Buffer: 512})
+		if _, _, err := c.Next(); (err == nil) != ok {
+			t.Errorf("%.60q: %v", in, err)
+		}
+	}
+}
+
+// What lies behind a message tells whether its length was right.
+func TestAstray(t *testing.T) {
+	const m = "RTSP/1.0 200 OK\r\nContent-Length: 4\r\n\r\nbody"
+	for rest, astray := range map[string]bool{
+		"": false, "\r\n": false, "RTSP/1.0 200 OK\r\n": false, "RTSP": false, "RTSP/1.0": false, "TEARDOWN rtsp://x RTSP/1.0\r\n": false, "ANNOU": false, "SET_PARAM": false,
+		"=IN IP4\r\n": true, "m=video 1": true, "8": true, "31000 RTP/AVP": true, "\r\nc=IN": true, "RTSP/x.y 200": true, "NOT A START LINE\r\n": true,
+	} {
+		c := NewConn(input{nil, strings.NewReader(m + rest)}, Bounds{})
+		if _, _, err := c.Next(); err != nil || c.Astray() != astray {
+			t.Errorf("%q is astray: %v, %v", rest, !astray, err)
+		}
+	}
+}
