--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"go.uber.org/zap"
 
 	"rainhaven/choice"
+	"rainhaven/choice/account"
 	"rainhaven/choice/lifecycle"
 	"rainhaven/internal/node/feed"
 	"rainhaven/internal/node/start"
@@ -313,6 +314,7 @@
 			sv.addr = i.Addr
 		}
 		n.later[at].List = append(n.later[at].List, entry)
+		n.log.Debug("listed", str("server", i.ID), str("state", i.State), num("cell", i.Cell))
 		n.moved(sv, entry.State)
 	}
 	if e.Endpoints.Reset {
@@ -352,6 +354,7 @@
 	v.Open++
 	n.open++
 	n.counts["asked"]++
+	n.log.Debug("asked", str("sess", s.id), str("class", s.class), num("home", s.request.StartCell), num("copies", s.request.Span), zap.Float64("patience", s.patience))
 	n.feed(wire.Event{Kind: wire.Ask, Request: s.request})
 }
 
@@ -674,7 +677,15 @@
 		return
 	}
 	n.counts[fmt.Sprintf("answer %d", status)]++
-	n.log.Debug("refused", str("sess", s.id), num("status", status))
+	if n.log.Core().Enabled(zap.DebugLevel) {
+		act := account.Busy
+		if status == rtsp.InternalError {
+			act = account.TornDown
+		}
+		st, _ := n.front.Standing(id)
+		why := account.Say([]account.Entry{{At: n.now, Sess: id, Act: act, Seconds: comeBack, Standing: st, Holders: len(st.Holders)}})
+		n.log.Debug("refused", str("sess", s.id), num("status", status), zap.Strings("why", why))
+	}
 	v := s.viewer
 	n.forget(s)
 	if v != nil {
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -9,6 +9,8 @@
 	"syscall"
 	"time"
 
+	"go.uber.org/zap"
+
 	"rainhaven/choice"
 	"rainhaven/choice/limits"
 	"rainhaven/choice/share"
@@ -241,7 +243,7 @@
 		l.send(response(m, rtsp.OK))
 	case m.IsRequest() || m.Status < 200:
 	case sv.tested != "" && id == sv.tested:
-		if n.log.Core().Enabled(-1) {
+		if n.log.Core().Enabled(zap.DebugLevel) {
 			n.log.Debug("tested", str("server", sv.id), str("report", m.Header.Get(fieldState)))
 		}
 		o := choice.Served
