Bring a server back warm that answers a probe right after a SETUP went wrong

Busy replies for some 14 s after each SETUP that timed out at 0.4 of the start target (116 ms; p99 of SETUPs 97 ms): the server was set aside until two probes a second apart were answered, then counted as cold for a whole warm-up, in which two fronts each turn away every second request (open: slots in turn). Lines at fault: Ended's setAside for TimedOut and Reset, Probed's cold return. Change: setAside after SETUPs alone sends a probe at once; answered within 0.5 s it brings the server back as it was. Tests: TestOneSetupGoneWrongIsNoDeadServer; the silent server's test now leaves the probe unanswered.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -518,7 +518,7 @@
 			f.alive(sv)
 			f.report(sv, rep, 0)
 		case TimedOut, NoConnection, Reset:
-			f.setAside(sv)
+			f.setAside(sv, o != NoConnection)
 		}
 		if o == Full {
 			sv.full = f.now + 1 // a second is about how long a report takes to change
@@ -624,7 +624,7 @@
 	f.alive(sv)
 	// Sessions that get next to nothing are on a server that hangs, not on a crowded link.
 	if share < 0.3 {
-		f.setAside(sv)
+		f.setAside(sv, false)
 		return
 	}
 	// Which of the two is short, notes don't say: the link, unless the uplink's newest report says otherwise.
@@ -644,7 +644,7 @@
 	sv.probing = false
 	defer f.answered()
 	if o != Served {
-		f.setAside(sv)
+		f.setAside(sv, false)
 		return
 	}
 	f.alive(sv)
@@ -655,6 +655,12 @@
 		if sv.good++; sv.good >= 2 {
 			sv.aside, sv.born = false, max(sv.born, f.now)
 		}
+		// Against one lost answer, slow SETUP or cut connection that passes for a dead server: a probe answered
+		// at once shows that it lives, as no machine starts anew within a probe's time. It would harm where one
+		// did, until the directory tells of the start.
+		if sv.doubt && f.now-sv.left < 0.5 {
+			sv.aside = false
+		}
 	}
 }
 
@@ -665,9 +671,11 @@
 	sv.heard = f.now
 }
 
-func (f *Front) setAside(sv *server) {
-	if sv.good = 0; !sv.aside {
-		sv.aside, sv.left, sv.probeAt = true, f.now, f.now
+// setAside keeps sessions from a server; where only SETUPs went wrong, doubt, it is probed at once.
+func (f *Front) setAside(sv *server, doubt bool) {
+	sv.good, sv.doubt = 0, doubt && (sv.doubt || !sv.aside)
+	if !sv.aside {
+		sv.aside, sv.left, sv.probeAt, sv.probe = true, f.now, f.now, sv.probe || doubt
 	}
 }
 
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -108,6 +108,11 @@
 	m.settle()
 	bad := q.on
 	m.end(q, TimedOut, false)
+	if m.f.Settle(); len(m.probes) != 1 || m.probes[0] != bad {
+		t.Fatalf("probed %v, not %d", m.probes, bad)
+	}
+	m.probes = nil
+	m.f.Probed(bad, TimedOut, Report{Link: -1, Uplink: -1})
 	for range 12 {
 		p := m.ask(plain(1))
 		if m.settle(); p.on == bad {
@@ -126,6 +131,29 @@
 	}
 }
 
+// One SETUP that goes wrong while the server lives: it is back at the first probe, and warm. After a refused connection,
+// or a probe that comes late, it is not.
+func TestOneSetupGoneWrongIsNoDeadServer(t *testing.T) {
+	for name, c := range map[string]struct {
+		o     Outcome
+		later float64
+		back  bool
+	}{"slow": {TimedOut, 0.05, true}, "cut": {Reset, 0.05, true}, "refused": {NoConnection, 0.05, false}, "late": {TimedOut, 0.6, false}} {
+		m := alone(nil)
+		q := m.ask(plain(1))
+		m.settle()
+		sv := m.f.server(q.on)
+		m.end(q, c.o, false)
+		m.f.Settle()
+		m.w.now += c.later
+		m.f.At(m.w.now)
+		m.f.Probed(sv.id, Served, Report{Link: -1, Uplink: -1})
+		if sv.aside == c.back || sv.born > 0 {
+			t.Errorf("%s: set aside %v, cold since %v", name, sv.aside, sv.born)
+		}
+	}
+}
+
 func TestPaidSessionThatMayHaveRunIsTornDown(t *testing.T) {
 	m := alone(nil)
 	q := m.ask(plain(0))
--- a/choice/state.go
+++ b/choice/state.go
@@ -28,6 +28,7 @@
 	heard          float64 // last sign of life
 	aside          bool    // gets no sessions until it answers probes
 	good           int     // probes answered in a row while aside
+	doubt          bool    // it was set aside for SETUPs alone, and a probe went out at once
 	probing, probe bool    // a probe is out, is wanted
 	left, probeAt  float64 // set aside when; next probe while aside
 	full           float64 // full until
@@ -210,7 +211,7 @@
 		s.born, s.heard, s.full = r.Born, r.Heard, r.Full
 		s.link.recall(r.Link)
 		if r.Aside && f.probes { // probes alone bring it back
-			f.setAside(s)
+			f.setAside(s, false)
 		}
 	}
 	for i, r := range m.Uplinks[:min(len(m.Uplinks), len(f.uplinks))] {
