--- a/choice/share/share.go
+++ b/choice/share/share.go
@@ -30,20 +30,29 @@
 // Holding is what decides whether a viewer's connection gives way.
 type Holding struct {
 	Spoke    bool // it has sent a whole message
+	Asked    bool // it has asked for a session
 	Open     int  // requests without their answers
 	Standing int  // sessions whose release it waits for
 	Since    float64
 }
 
-// Rank orders connections for giving way: the lowest goes first, the oldest of a rank; below 0 never goes.
-func (h Holding) Rank() int {
+// fresh is how many seconds a new connection has before its silence counts: usual viewers send within milliseconds.
+const fresh = 0.25
+
+// Rank orders connections for giving way: the lowest goes first, the one unused longest of a rank; below 0 never goes.
+// Against hundreds that say nothing, or only tests, and would have usual viewers' new ones turned away in their place.
+func (h Holding) Rank(now float64) int {
 	switch {
 	case h.Open > 0:
 		return -1
-	case !h.Spoke:
+	case !h.Spoke && now-h.Since >= fresh:
 		return 0
-	case h.Standing == 0:
+	case h.Spoke && !h.Asked:
 		return 1
+	case h.Spoke && h.Standing == 0:
+		return 2
+	case !h.Spoke:
+		return 3
 	}
-	return 2
+	return 4
 }
--- a/choice/share/share_test.go
+++ b/choice/share/share_test.go
@@ -17,13 +17,14 @@
 }
 
 func TestWhoGivesWay(t *testing.T) {
-	order := []Holding{{}, {Spoke: true}, {Spoke: true, Standing: 1}}
+	const now = 100
+	order := []Holding{{Since: 99}, {Spoke: true}, {Spoke: true, Asked: true}, {Since: now}, {Spoke: true, Asked: true, Standing: 1}}
 	for i := 1; i < len(order); i++ {
-		if order[i-1].Rank() >= order[i].Rank() {
+		if order[i-1].Rank(now) >= order[i].Rank(now) {
 			t.Errorf("%+v does not go before %+v", order[i-1], order[i])
 		}
 	}
-	if (Holding{Spoke: true, Open: 1}).Rank() >= 0 {
+	if (Holding{Spoke: true, Open: 1}).Rank(now) >= 0 {
 		t.Error("one that is owed an answer gives way")
 	}
 }
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -80,6 +80,16 @@
 	}
 }
 
+// cut closes the connection at once; nothing is owed on it. What crosses meets a closed connection, not one that listens
+// and says nothing.
+func (c *conn) cut() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failed = true
+	c.nc.Close()
+	c.poke()
+}
+
 func (c *conn) isEnding() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/node/viewer.go
+++ b/internal/node/viewer.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"rainhaven/choice/share"
 	"rainhaven/internal/rtsp"
 )
@@ -100,14 +102,18 @@
 	for ; open > most; open-- {
 		var first *viewer
 		for _, v := range n.viewers {
-			if r := v.Rank(); r >= 0 && !v.isEnding() && (first == nil || r < first.Rank()) {
+			if v.isEnding() || v.Rank(n.now) < 0 {
+				continue
+			}
+			if first == nil || v.Rank(n.now) < first.Rank(n.now) || v.Rank(n.now) == first.Rank(n.now) && v.used < first.used {
 				first = v
 			}
 		}
 		if first == nil {
 			return
 		}
-		first.end()
+		n.log.Debug("a viewer's connection gives way", str("from", first.nc.RemoteAddr().String()), num("rank", first.Rank(n.now)), zap.Float64("age", n.now-first.Since))
+		first.cut()
 	}
 }
 
@@ -115,7 +121,8 @@
 func (n *Node) sweep() {
 	for _, v := range n.viewers {
 		if v.Spoke && v.Open == 0 && v.Standing == 0 && n.now-v.used > share.Unused && !v.isEnding() {
-			v.end()
+			n.log.Debug("an unused connection is closed", str("from", v.nc.RemoteAddr().String()))
+			v.cut()
 		}
 	}
 }
@@ -159,7 +166,7 @@
 		return
 	}
 	v.closed = true
-	n.log.Debug("a viewer's connection ended", str("why", errText(why)), num("open", v.Open), num("standing", v.Standing))
+	n.log.Debug("a viewer's connection ended", str("from", v.nc.RemoteAddr().String()), str("why", errText(why)), zap.Bool("spoke", v.Spoke), zap.Float64("age", n.now-v.Since), num("open", v.Open), num("standing", v.Standing))
 	n.abandon(v, false)
 	n.viewers = slices.DeleteFunc(n.viewers, func(o *viewer) bool { return o == v })
 	for _, s := range slices.Clone(v.held) {
@@ -173,6 +180,7 @@
 // heardViewer takes one message of a viewer's.
 func (n *Node) heardViewer(v *viewer, m *rtsp.Message) {
 	if v.closed || v.isEnding() {
+		n.log.Debug("said on a connection that is being closed", str("from", v.nc.RemoteAddr().String()), str("method", m.Method), str("sess", m.Session()))
 		return
 	}
 	v.Spoke, v.used = true, n.now
@@ -210,6 +218,7 @@
 		n.refuseWrong(v, m, rtsp.BadRequest)
 		return
 	}
+	v.Asked = true
 	if a.at != "" {
 		n.handed(v, a)
 		return
@@ -223,6 +232,8 @@
 		return
 	}
 	if v.Open >= share.Open || n.open >= share.OpenInAll {
+		n.log.Debug("past the bound on open requests", str("from", v.nc.RemoteAddr().String()), num("open", v.Open), num("all", n.open))
+		n.counts["past the bound"]++
 		v.send(response(m, rtsp.ServiceUnavailable))
 		return
 	}
