--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -306,6 +306,23 @@
 	f.until("the silent are gone", func(n *Node) bool { return len(n.viewers) == 2 })
 }
 
+// Connections that only test, and hold every place, give way to a usual viewer's new one, which has said nothing yet.
+func TestNewConnectionIsNotTheOneThatGivesWay(t *testing.T) {
+	var s1 *host
+	f := newFarm(t, 64, func(f *farm) []*host { s1 = f.host("s-1"); return []*host{s1} })
+	for range share.Viewers(64) + 5 {
+		v := f.viewer()
+		v.say("OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n")
+		v.want("200")
+	}
+	w := f.viewer()
+	f.until("it is taken", func(n *Node) bool { return n.counts["viewers"] == share.Viewers(64)+6 })
+	w.setup(id(1), "free", "")
+	x, _ := f.wanted(rtsp.Setup, s1)
+	x.on.answer(x.m, 200, given)
+	w.want("200")
+}
+
 // Requests past a connection's bound are told at once to come again, which is true: nothing of them ran.
 func TestRequestsPastTheBound(t *testing.T) {
 	var s1 *host
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -287,7 +287,6 @@
 
 // setupAnswered takes a server's final answer to a SETUP.
 func (n *Node) setupAnswered(s *sess, m *rtsp.Message) {
-	n.log.Debug("answered", str("sess", s.id), num("status", m.Status), zap.Any("fields", m.Header), zap.ByteString("body", m.Body), zap.ByteString("asked", s.body))
 	switch {
 	case m.Status == rtsp.OK && len(m.Body) > 0:
 		n.stands(s, m)
--- a/internal/node/viewer.go
+++ b/internal/node/viewer.go
@@ -86,6 +86,7 @@
 
 func (n *Node) opened(v *viewer) {
 	v.Since, v.used = n.now, n.now
+	n.counts["viewers"]++
 	n.viewers = append(n.viewers, v)
 	n.makeRoom()
 }
