Never exit with a request open, and exit before SIGKILL

Seen: a front node that drains was over 1 s after SIGTERM even where a request was open, as TestTerminated showed once it waited for a session: lifecycle's Drained stays true after the first moment without sessions. Answers queued in the last batch were closed away with the connections. Lines at fault: node.Run (drain max(SetupTimeout, 3)+0.4), loop (Drained while n.open == 0), the deferred closes. Change: min(SetupTimeout, 3)+0.55; lifecycle.Resumed takes Drained back; sessions play on until then; queued answers have 0.1 s to leave. Tests: TestLives/another_begins_meanwhile, TestTerminated.

--- a/choice/lifecycle/lifecycle.go
+++ b/choice/lifecycle/lifecycle.go
@@ -151,6 +151,9 @@
 	l.drained = l.wanted == Draining
 }
 
+// Resumed tells that a session began after the last one was over, where requests are still taken during a drain.
+func (l *Life) Resumed() { l.drained = false }
+
 // Ended tells that the front has ended.
 func (l *Life) Ended() {
 	if l.wanted == Cutting {
--- a/choice/lifecycle/lifecycle_test.go
+++ b/choice/lifecycle/lifecycle_test.go
@@ -85,6 +85,7 @@
 		code  Code
 	}{
 		"drained":                  {[]step{up, term, drained, ended}, "drain cut exit", Clean},
+		"another begins meanwhile": {[]step{up, term, {0.1, func(p *process) { p.l.Drained() }}, {0.1, func(p *process) { p.l.Resumed() }}, wait(5)}, "drain", 0},
 		"the drain takes long":     {[]step{up, term, wait(30), ended}, "drain cut exit", Clean},
 		"a second signal":          {[]step{up, term, term, ended}, "drain cut exit", CutShort},
 		"the same one twice":       {[]step{up, term, again, drained, ended}, "drain cut exit", Clean},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -108,6 +108,11 @@
 	// margin is what an answer may take on its way back to the viewer, whose patience began when it sent its SETUP: some
 	// 1 ms each way and what a busy core adds. Much more would cut short SETUPs that would still be served.
 	margin = 0.012
+	// SIGKILL follows SIGTERM after the longest setup timeout, counted as mostDrain where it is longer, and 0.7 s at the
+	// earliest. Sessions play on until a little before; what was asked in the last moment is answered by then.
+	mostDrain, drainMore = 3.0, 0.55
+	// flush is how long answers that are queued at the exit may take to leave.
+	flush = 100 * time.Millisecond
 	// queue is how many events may wait for the loop; readers wait beyond.
 	queue = 256
 )
@@ -159,6 +164,15 @@
 	defer func() {
 		l.Close()
 		for _, v := range n.viewers {
+			v.end()
+		}
+		late := time.After(flush)
+		for _, v := range n.viewers {
+			select {
+			case <-v.ended:
+			case <-late:
+				late = nil
+			}
 			v.nc.Close()
 		}
 		for _, sv := range n.servers {
@@ -169,8 +183,7 @@
 			}
 		}
 	}()
-	// The longest setup timeout, 3 s at least, and less than what SIGKILL comes after at the earliest.
-	n.life = lifecycle.New(n.now, max(n.start.SetupTimeout, 3)+0.4, orders{n})
+	n.life = lifecycle.New(n.now, min(n.start.SetupTimeout, mostDrain)+drainMore, orders{n})
 	n.settle()
 	n.followFeed(o.Start.Coordinator)
 	n.ready = true
@@ -249,8 +262,10 @@
 		}
 		n.settle()
 		n.life.At(n.now)
-		if n.open == 0 {
+		if len(n.sess) == 0 {
 			n.life.Drained()
+		} else {
+			n.life.Resumed()
 		}
 		n.life.Settle()
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -533,10 +533,12 @@
 	x, _ := f.wanted(rtsp.Setup, s1)
 	x.on.answer(x.m, 200, given)
 	w.want("200")
+	// While its session stands the node stays, but SIGKILL, 0.7 s after the longest setup timeout, finds nothing.
+	began := time.Now()
 	select {
 	case code := <-f.over:
-		if code != lifecycle.Clean {
-			t.Errorf("exit %d", code)
+		if d := time.Since(began).Seconds(); code != lifecycle.Clean || d < 1.2 || d > f.node.start.SetupTimeout+0.7 {
+			t.Errorf("exit %d after %v", code, d)
 		}
 		f.over <- code
 	case <-time.After(patience):
