Bound what waits for a peer at 256 kB; log what module and node count side by side

Reckoned, not seen: a dead server's 500 sessions mean 500 releases of 130 bytes at once for the few connections that usual viewers share, 65 kB, past the 64 kB at which a connection is closed. Now twice that and more.

--- a/choice/state.go
+++ b/choice/state.go
@@ -257,3 +257,21 @@
 	}
 	return st, true
 }
+
+// Belief is what a front counts at one server, for those who compare it with what passes there.
+type Belief struct {
+	Server   ServerID
+	Sessions int     // SETUPs out and sessions there
+	Asks     float64 // kB a second at the rungs wanted
+	Load     float64 // of its link, others' part included
+	Aside    bool
+}
+
+// Beliefs gives what the front counts at each server, by id.
+func (f *Front) Beliefs() (list []Belief) {
+	for _, s := range f.servers {
+		asks := s.link.asks(false)
+		list = append(list, Belief{s.id, len(s.link.sess), asks, (asks + f.others(s.link)) / max(s.link.size, 1), s.aside})
+	}
+	return list
+}
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -9,9 +9,10 @@
 )
 
 const (
-	// mostQueued is how many bytes wait for a peer that does not read; then its connection is closed. Usual messages
+	// mostQueued is how many bytes wait for a peer that does not read; then its connection is closed. A dead server with a
+	// thousand sessions has as many releases of some 130 bytes queued at once for a few viewers. Usual messages
 	// have some 200 bytes.
-	mostQueued = 64 << 10
+	mostQueued = 256 << 10
 	// stall is how long one write may take.
 	stall = 2 * time.Second
 	// whole is how long a message may take from its first byte on.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -87,6 +87,7 @@
 
 	tests, wrongs int
 	looked        float64
+	compared      float64
 	counts        map[string]int // by what happened, for the log
 }
 
@@ -261,6 +262,7 @@
 			n.feed(wire.Event{Kind: wire.Due})
 		}
 		n.settle()
+		n.compare()
 		n.life.At(n.now)
 		if len(n.sess) == 0 {
 			n.life.Drained()
@@ -271,6 +273,19 @@
 	}
 }
 
+// compare logs, once a second, what the module counts at each server beside what the node has there, where debug is on.
+func (n *Node) compare() {
+	if n.now-n.compared < 1 || !n.log.Core().Enabled(zap.DebugLevel) {
+		return
+	}
+	n.compared = n.now
+	for _, b := range n.front.Beliefs() {
+		if sv := n.numbers[b.Server]; sv != nil {
+			n.log.Debug("counts", str("server", sv.id), num("module", b.Sessions), num("standing", len(sv.held)), num("out", sv.out()), zap.Float64("load", b.Load), zap.Bool("aside", b.Aside))
+		}
+	}
+}
+
 func (n *Node) signal(sig os.Signal) {
 	n.life.At(n.now)
 	if sig == syscall.SIGHUP {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -593,6 +593,14 @@
 		index += 2
 		fmt.Fprintf(c, "%s\n%s\n", change(index-1, false, entry(h.name, "", "removed")), change(index, false, entry(fmt.Sprintf("s-%d", 100+round), h.Addr().String(), "up")))
 		h.name = fmt.Sprintf("s-%d", 100+round)
+		// What the module counts is what the node has.
+		f.see(func(n *Node) {
+			for _, b := range n.front.Beliefs() {
+				if sv := n.numbers[b.Server]; len(n.later) == 0 && (sv == nil && b.Sessions > 0 || sv != nil && b.Sessions != len(sv.held)+sv.out()) {
+					t.Errorf("round %d: the module counts %d sessions at %d", round, b.Sessions, b.Server)
+				}
+			}
+		})
 		f.until("the round is over", func(n *Node) bool { return len(n.sess) == 0 && n.index == int64(index) && len(n.servers) <= 6 })
 		v.Close()
 	}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -46,6 +46,14 @@
 	stop   context.CancelFunc
 }
 
+// out is how many SETUPs are out there, or wait for their connections.
+func (sv *server) out() (k int) {
+	for _, l := range sv.conns {
+		k += len(l.open)
+	}
+	return k
+}
+
 // take gives the connection for a SETUP: one that carries none, else a new one, else the one that carries fewest.
 func (n *Node) take(sv *server) *link {
 	var best *link
