End at once though the loop never heard of an open connection

Seen: one of three runs of the node's tests did not end within 5 s after its loop was over (TestOutcomes/length_too_short). Cause: a server's connection that opened as the loop ended was in no table, so nobody closed it, and its reader, which has no deadline between messages, held wg.Wait: at SIGTERM the process would have stood until SIGKILL. Lines at fault: Run's deferred closes, which walk n.servers. Change: each reader has its connection closed with the context.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -176,13 +176,6 @@
 			}
 			v.nc.Close()
 		}
-		for _, sv := range n.servers {
-			for _, c := range sv.conns {
-				if c.up {
-					c.nc.Close()
-				}
-			}
-		}
 	}()
 	n.life = lifecycle.New(n.now, min(n.start.SetupTimeout, mostDrain)+drainMore, orders{n})
 	n.settle()
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -113,6 +113,7 @@
 		n.tell(event{do: func() { n.notOpened(l, err) }})
 		return
 	}
+	defer context.AfterFunc(n.ctx, func() { nc.Close() })() // the loop may be over before it hears of this connection
 	c := newConn(nc)
 	if !n.tell(event{do: func() { l.conn = c; n.openedServer(l) }}) {
 		c.close()
--- a/internal/node/viewer.go
+++ b/internal/node/viewer.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"errors"
 	"net"
 	"slices"
@@ -49,6 +50,7 @@
 // readViewer hands the loop what a viewer sends, until its connection ends.
 func (n *Node) readViewer(v *viewer) {
 	defer n.wg.Done()
+	defer context.AfterFunc(n.ctx, func() { v.nc.Close() })()
 	in := rtsp.NewConn(v.nc, bounds)
 	v.nc.SetReadDeadline(time.Now().Add(time.Duration(share.Begin * float64(time.Second))))
 	var why error
