Decide which connection carries a SETUP, margin and drain beside the module

They stood in internal/node; now in choice/share, tested as cases. A server's figures that can't be true are told apart by choice/hearing, as for the other front.

--- a/choice/share/share.go
+++ b/choice/share/share.go
@@ -1,5 +1,5 @@
-// Package share decides how one front node's descriptors are shared out between viewers and servers, and which
-// viewers' connections give way. It does no I/O.
+// Package share decides how one front node's descriptors are shared out between viewers and servers, which viewers'
+// connections give way, which connection carries a SETUP, and how long requests and sessions are let go on. It does no I/O.
 package share
 
 // Viewers is how many viewers' connections are held together: usual viewers hold at most a third of all descriptors,
@@ -23,6 +23,9 @@
 	// Open is how many requests of one connection may be without their answers, and OpenInAll of all; more are
 	// busy-replied, as nothing of them ran. Usual connections of the platform carry some tens.
 	Open, OpenInAll = 64, 512
+	// Margin is how many seconds an answer may take on its way back to the viewer, whose patience began when it sent its
+	// SETUP: some 1 ms each way and what a busy core adds. Much more would cut short SETUPs that would still be served.
+	Margin = 0.012
 	// Wrong is how many of a connection's requests may be refused as malformed before it is closed.
 	Wrong = 8
 )
@@ -56,3 +59,42 @@
 	}
 	return 4
 }
+
+// Drain is how many seconds sessions may play on after SIGTERM: SIGKILL follows after the longest setup timeout, counted
+// as 3 s where it is longer, and 0.7 s at the earliest; a little before, all that was asked is answered.
+func Drain(setupTimeout float64) float64 { return min(setupTimeout, 3) + 0.55 }
+
+// Carrying is one connection to a server, as far as it matters for who carries a SETUP.
+type Carrying struct {
+	Up   bool // it is open; else it is being opened
+	Open int  // SETUPs out on it, or waiting for it
+	Used float64
+}
+
+// New and None tell that a SETUP goes over a new connection, or can't go.
+const New, None = -1, -2
+
+// Carry tells which of a server's connections carries a SETUP: an open one that carries none, the one used last; else a
+// new one, up to most of them; else the one that carries fewest, within streams where that is above 0.
+func Carry(list []Carrying, most, streams int) int {
+	best := New
+	for i, c := range list {
+		if best == New {
+			best = i
+			continue
+		}
+		b := list[best]
+		if c.Open < b.Open || c.Open == b.Open && (c.Up && !b.Up || c.Up == b.Up && c.Used > b.Used) {
+			best = i
+		}
+	}
+	switch {
+	case best != New && list[best].Open == 0 && list[best].Up:
+		return best
+	case len(list) < most && (best == New || list[best].Open > 0):
+		return New
+	case best == New || streams > 0 && list[best].Open >= streams:
+		return None
+	}
+	return best
+}
--- a/choice/share/share_test.go
+++ b/choice/share/share_test.go
@@ -28,3 +28,34 @@
 		t.Error("one that is owed an answer gives way")
 	}
 }
+
+func TestWhoCarries(t *testing.T) {
+	up, opening := Carrying{Up: true}, Carrying{Open: 1}
+	busy := Carrying{Up: true, Open: 2}
+	for name, c := range map[string]struct {
+		list          []Carrying
+		most, streams int
+		want          int
+	}{
+		"none yet":                   {nil, 4, 0, New},
+		"none may be":                {nil, 0, 0, None},
+		"a free one":                 {[]Carrying{busy, up}, 4, 0, 1},
+		"the free one last used":     {[]Carrying{{Up: true, Used: 1}, {Up: true, Used: 2}}, 4, 0, 1},
+		"all carry":                  {[]Carrying{busy, opening}, 4, 0, New},
+		"all carry, no more":         {[]Carrying{busy, opening}, 2, 0, 1},
+		"all carry all they may":     {[]Carrying{busy, busy}, 2, 2, None},
+		"one that opens for nothing": {[]Carrying{{}}, 4, 0, 0},
+	} {
+		if got := Carry(c.list, c.most, c.streams); got != c.want {
+			t.Errorf("%s: %d, want %d", name, got, c.want)
+		}
+	}
+}
+
+func TestDrainEndsBeforeTheKill(t *testing.T) {
+	for _, s := range []float64{0.5, 1.8, 3, 9} {
+		if d := Drain(s); d >= min(s, 3)+0.7 || d < min(s, 3) {
+			t.Errorf("%v s: %v", s, d)
+		}
+	}
+}
--- a/internal/node/message.go
+++ b/internal/node/message.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"rainhaven/choice"
+	"rainhaven/choice/hearing"
 	"rainhaven/internal/rtsp"
 	"rainhaven/internal/wire"
 )
@@ -116,23 +117,13 @@
 
 // readReport reads a server's load report; what can't be read says nothing.
 func readReport(m *rtsp.Message) choice.Report {
-	none := choice.Report{Link: -1, Uplink: -1}
 	r, err := wire.ReadReport(strings.NewReplacer(";", ",", " ", "").Replace(m.Header.Get(fieldState)))
 	if err != nil {
-		return none
+		return noReport
 	}
-	if !sane(r.Link) {
-		r.Link = -1
-	}
-	if !sane(r.Uplink) {
-		r.Uplink = -1
-	}
-	return r
+	return hearing.Report(r.Link, r.Uplink, r.Capped)
 }
 
-// sane tells whether a load can be true: against a broken server's figures, which would stay in smoothed ones.
-func sane(x float64) bool { return x >= 0 && x <= 100 }
-
 // cause reads the Reason field; 0 is none.
 func cause(m *rtsp.Message) int {
 	_, v, ok := strings.Cut(m.Header.Get(fieldReason), "cause=")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"rainhaven/choice"
 	"rainhaven/choice/account"
 	"rainhaven/choice/lifecycle"
+	"rainhaven/choice/share"
 	"rainhaven/internal/node/feed"
 	"rainhaven/internal/node/start"
 	"rainhaven/internal/rtsp"
@@ -56,13 +57,12 @@
 
 // Node is one front node.
 type Node struct {
-	start   *start.Start
-	reread  func() (*start.Start, error)
-	log     *zap.Logger
-	ctx     context.Context
-	cancelf context.CancelFunc
-	wg      sync.WaitGroup
-	events  chan event
+	start  *start.Start
+	reread func() (*start.Start, error)
+	log    *zap.Logger
+	ctx    context.Context
+	wg     sync.WaitGroup
+	events chan event
 
 	front *choice.Front
 	life  *lifecycle.Life
@@ -106,12 +106,6 @@
 	keepOwed = 8.0
 	// pace is how often servers are looked after and viewers' connections swept.
 	pace = 0.1
-	// margin is what an answer may take on its way back to the viewer, whose patience began when it sent its SETUP: some
-	// 1 ms each way and what a busy core adds. Much more would cut short SETUPs that would still be served.
-	margin = 0.012
-	// SIGKILL follows SIGTERM after the longest setup timeout, counted as mostDrain where it is longer, and 0.7 s at the
-	// earliest. Sessions play on until a little before; what was asked in the last moment is answered by then.
-	mostDrain, drainMore = 3.0, 0.55
 	// flush is how long answers that are queued at the exit may take to leave.
 	flush = 100 * time.Millisecond
 	// queue is how many events may wait for the loop; readers wait beyond.
@@ -144,7 +138,7 @@
 // Run is a front node from its start to its exit.
 func Run(o Options) (lifecycle.Code, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	n := &Node{start: o.Start, reread: o.Reread, log: o.Log, ctx: ctx, cancelf: cancel, events: make(chan event, queue), began: time.Now(),
+	n := &Node{start: o.Start, reread: o.Reread, log: o.Log, ctx: ctx, events: make(chan event, queue), began: time.Now(),
 		sess: map[string]*sess{}, numbers: map[choice.ServerID]*server{}, past: map[string]*server{}, early: map[string]bool{},
 		counts: map[string]int{}}
 	defer n.wg.Wait()
@@ -177,7 +171,7 @@
 			v.nc.Close()
 		}
 	}()
-	n.life = lifecycle.New(n.now, min(n.start.SetupTimeout, mostDrain)+drainMore, orders{n})
+	n.life = lifecycle.New(n.now, share.Drain(n.start.SetupTimeout), orders{n})
 	n.settle()
 	n.followFeed(o.Start.Coordinator)
 	n.ready = true
@@ -371,7 +365,7 @@
 // ask takes a new session to the module.
 func (n *Node) ask(v *viewer, a ask) {
 	s := &sess{ask: a, viewer: v, rung: n.start.Figures.Groups[a.group].Floor, from: -1}
-	s.request.SetupTimeout = n.now + max(a.patience-margin, 0)
+	s.request.SetupTimeout = n.now + max(a.patience-share.Margin, 0)
 	n.sess[s.id] = s
 	v.held = append(v.held, s)
 	v.Open++
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"rainhaven/choice"
+	"rainhaven/choice/hearing"
 	"rainhaven/choice/limits"
 	"rainhaven/choice/share"
 	"rainhaven/choice/vigil"
@@ -54,29 +55,24 @@
 	return k
 }
 
-// take gives the connection for a SETUP: one that carries none, else a new one, else the one that carries fewest.
+// take gives the connection for a SETUP, nil where there is none.
 func (n *Node) take(sv *server) *link {
-	var best *link
-	count := 0
+	var links []*link
+	var list []share.Carrying
 	for _, l := range sv.conns {
-		if l.closed || l.up && l.isEnding() {
-			continue
-		}
-		count++
-		if best == nil || len(l.open) < len(best.open) || len(l.open) == len(best.open) && (l.up && !best.up || l.up == best.up && l.used > best.used) {
-			best = l
+		if !l.closed && !(l.up && l.isEnding()) {
+			links = append(links, l)
+			list = append(list, share.Carrying{Up: l.up, Open: len(l.open), Used: l.used})
 		}
 	}
-	if best != nil && len(best.open) == 0 && best.up {
-		return best
-	}
-	if count < n.perServer() && (best == nil || len(best.open) > 0) {
+	switch i := share.Carry(list, n.perServer(), n.start.Streams); i {
+	case share.New:
 		return n.dial(sv)
-	}
-	if best != nil && n.start.Streams > 0 && len(best.open) >= n.start.Streams {
+	case share.None:
 		return nil
+	default:
+		return links[i]
 	}
-	return best
 }
 
 func (n *Node) perServer() int {
@@ -316,7 +312,7 @@
 func (n *Node) noted(sv *server, s *sess, m *rtsp.Message) {
 	x, err := strconv.ParseFloat(m.Header.Get(fieldFigure), 64)
 	kind := noteKinds[m.Header.Get(fieldNote)]
-	if err != nil || !sane(x) || kind == wire.Ignored || s.state != standing {
+	if err != nil || hearing.Report(x, -1, false).Link < 0 || kind == wire.Ignored || s.state != standing {
 		return
 	}
 	if kind == wire.InForce && int(x) >= len(n.start.Figures.Ladder) {
