Bound handed sessions and what they keep; part node.go by concern

Seen by reading, then by test: a viewer who claims sessions with 'at' without end filled the table, and each claim kept its description and, through substrings, whole header lines (internal/node handed, readAsk). Change: share.Handed, 100 a MB, past it released at once; the description is dropped, kept strings are copies. Tests: TestHandedOver, seen to fail without the bound; TestUnusedSenselessTooMany.

--- a/choice/share/share.go
+++ b/choice/share/share.go
@@ -17,17 +17,17 @@
 	// Begin is how many seconds a viewer's connection may take to send its first whole message, and each further one
 	// from its first byte: usual viewers send at once; against silent and half ones, who are owed a close within 3 s.
 	Begin = 2.0
-	// Unused is how many seconds a connection without sessions is kept: viewers close theirs after 4 s. Against
+	// unused is how many seconds a connection without sessions is kept: viewers close theirs after 4 s. Against
 	// viewers who ask once and hold their connection for good.
-	Unused = 6.0
-	// Open is how many requests of one connection may be without their answers, and OpenInAll of all; more are
+	unused = 6.0
+	// Open is how many requests of one connection may be without their answers, and openInAll of all; more are
 	// busy-replied, as nothing of them ran. Usual connections of the platform carry some tens.
-	Open, OpenInAll = 64, 512
+	Open, openInAll = 64, 512
 	// Margin is how many seconds an answer may take on its way back to the viewer, whose patience began when it sent its
 	// SETUP: some 1 ms each way and what a busy core adds. Much more would cut short SETUPs that would still be served.
 	Margin = 0.012
-	// Wrong is how many of a connection's requests may be refused as malformed before it is closed.
-	Wrong = 8
+	// wrong is how many of a connection's requests may be refused as malformed before it is closed.
+	wrong = 8
 )
 
 // Holding is what decides whether a viewer's connection gives way.
@@ -36,9 +36,29 @@
 	Asked    bool // it has asked for a session
 	Open     int  // requests without their answers
 	Standing int  // sessions whose release it waits for
+	Wrong    int  // requests of its that made no sense
 	Since    float64
+	Used     float64 // when it last had something of a session's to do
 }
 
+// Idle tells whether a connection has been without sessions for too long.
+func (h Holding) Idle(now float64) bool {
+	return h.Spoke && h.Open == 0 && h.Standing == 0 && now-h.Used > unused
+}
+
+// Senseless tells whether a connection without sessions has sent enough that makes no sense.
+func (h Holding) Senseless() bool { return h.Wrong >= wrong && h.Open == 0 && h.Standing == 0 }
+
+// TooMany tells whether one more request of a connection is turned away, with so many open in all.
+func (h Holding) TooMany(all int) bool { return h.Open >= Open || all >= openInAll }
+
+// Handed is how many sessions that stand already are taken in, by memory: a session takes about a kilobyte, and a tenth
+// of the smallest node's memory holds what the largest usual one is handed. Against viewers who claim sessions without end.
+func Handed(megabytes int) int { return 100 * max(megabytes, 16) }
+
+// Stale tells whether a connection to a server, unused since then, is closed before its peer closes it after idle seconds.
+func Stale(now, since, idle float64) bool { return idle > 0 && now-since > 0.8*idle }
+
 // fresh is how many seconds a new connection has before its silence counts: usual viewers send within milliseconds.
 const fresh = 0.25
 
--- a/choice/share/share_test.go
+++ b/choice/share/share_test.go
@@ -59,3 +59,19 @@
 		}
 	}
 }
+
+func TestUnusedSenselessTooMany(t *testing.T) {
+	idle := Holding{Spoke: true, Used: 10}
+	if idle.Idle(15) || !idle.Idle(17) || (Holding{Spoke: true, Standing: 1}).Idle(99) || (Holding{Spoke: true, Open: 1}).Idle(99) {
+		t.Error("idle")
+	}
+	if (Holding{Wrong: 7}).Senseless() || !(Holding{Wrong: 8}).Senseless() || (Holding{Wrong: 8, Standing: 1}).Senseless() {
+		t.Error("senseless")
+	}
+	if (Holding{Open: 63}).TooMany(511) || !(Holding{Open: 64}).TooMany(0) || !(Holding{}).TooMany(512) {
+		t.Error("too many")
+	}
+	if Stale(124, 100, 30) || !Stale(125, 100, 30) || Stale(1e9, 0, 0) {
+		t.Error("stale")
+	}
+}
--- /dev/null
+++ b/internal/node/acts.go
@@ -0,0 +1,87 @@
+package node
+
+import (
+	"fmt"
+
+	"go.uber.org/zap"
+
+	"rainhaven/choice"
+	"rainhaven/choice/account"
+	"rainhaven/internal/rtsp"
+	"rainhaven/internal/wire"
+)
+
+// acts carries out what the module decides.
+type acts struct{ n *Node }
+
+func (a acts) Rung(id choice.SessID, rung int) {
+	s := a.n.sess[string(id)]
+	if s == nil {
+		return
+	}
+	s.rung = rung
+	if s.state == standing {
+		a.n.counts["rungs"]++
+		a.n.toServer(s.server, newRung(s))
+	}
+}
+
+func (a acts) Setup(id choice.SessID, number choice.ServerID, wait float64) {
+	n := a.n
+	s, sv := n.sess[string(id)], n.numbers[number]
+	if s == nil {
+		return
+	}
+	if sv == nil {
+		n.feed(wire.Event{Kind: wire.Ended, Request: choice.Request{ID: id}, Server: number, Outcome: choice.Unsent, Report: noReport})
+		return
+	}
+	n.log.Debug("setup", str("sess", s.id), str("server", sv.id), num("rung", s.rung), zap.Float64("wait", wait))
+	s.state, s.server, s.until = out, sv, n.now+wait
+	s.waiting = n.after(wait, func() { n.timedOut(s) })
+	n.carry(s)
+}
+
+func (a acts) BusyReply(id choice.SessID, comeBack float64) {
+	a.final(id, rtsp.ServiceUnavailable, comeBack)
+}
+
+func (a acts) TearDown(id choice.SessID) { a.final(id, rtsp.InternalError, 0) }
+
+func (a acts) final(id choice.SessID, status int, comeBack float64) {
+	n := a.n
+	s := n.sess[string(id)]
+	if s == nil {
+		return
+	}
+	n.counts[fmt.Sprintf("answer %d", status)]++
+	if n.log.Core().Enabled(zap.DebugLevel) {
+		act := account.Busy
+		if status == rtsp.InternalError {
+			act = account.TornDown
+		}
+		st, _ := n.front.Standing(id)
+		why := account.Say([]account.Entry{{At: n.now, Sess: id, Act: act, Seconds: comeBack, Standing: st, Holders: len(st.Holders)}})
+		n.log.Debug("refused", str("sess", s.id), num("status", status), zap.Strings("why", why))
+	}
+	v := s.viewer
+	n.forget(s)
+	if v != nil {
+		v.send(refusal(s.id, status, comeBack))
+	}
+}
+
+func (a acts) Probe(number choice.ServerID) {
+	n := a.n
+	if sv := n.numbers[number]; sv != nil {
+		n.counts["probes"]++
+		n.probe(sv)
+		return
+	}
+	n.feed(wire.Event{Kind: wire.Probed, Server: number, Outcome: choice.NoConnection, Report: noReport})
+}
+
+// Tell does nothing: the platform gives fronts no way to find each other.
+func (a acts) Tell(int, []byte) {}
+
+func (a acts) Wake(after float64) { a.n.due = a.n.now + after }
--- a/internal/node/message.go
+++ b/internal/node/message.go
@@ -64,7 +64,8 @@
 
 // readAsk reads a viewer's SETUP; what is wrong with it is an error.
 func (n *Node) readAsk(m *rtsp.Message) (a ask, err error) {
-	a = ask{id: m.Session(), class: m.Header.Get(fieldClass), url: m.URL, body: m.Body}
+	// What is kept must not keep a line of 4 kB alive.
+	a = ask{id: strings.Clone(m.Session()), class: m.Header.Get(fieldClass), url: strings.Clone(m.URL), body: m.Body}
 	title, ok := strings.CutPrefix(m.URL, root)
 	if !ok || title == "" || len(title) > 256 {
 		return a, fmt.Errorf("address %.60q", m.URL)
@@ -77,8 +78,9 @@
 	if a.group == len(n.start.Groups) {
 		return a, fmt.Errorf("class %.30q", a.class)
 	}
+	a.class = n.start.Groups[a.group]
 	figures := n.start.Figures
-	a.request = choice.Request{ID: choice.SessID(a.id), Group: a.group, Title: title, Span: 1, BestRung: len(figures.Ladder) - 1}
+	a.request = choice.Request{ID: choice.SessID(a.id), Group: a.group, Title: a.url[len(root):], Span: 1, BestRung: len(figures.Ladder) - 1}
 	for _, pair := range strings.Split(m.Header.Get(fieldFacts), ";") {
 		name, value, _ := strings.Cut(strings.TrimSpace(pair), ":")
 		var to *int
@@ -91,7 +93,7 @@
 		case "top":
 			to, most = &a.request.BestRung, len(figures.Ladder)-1
 		case "at":
-			if a.at = value; value == "" {
+			if a.at = strings.Clone(value); value == "" {
 				return a, fmt.Errorf("at no server")
 			}
 			continue
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -19,8 +19,7 @@
 )
 
 func TestServedAndReleased(t *testing.T) {
-	var s1 *host
-	f := newFarm(t, 256, func(f *farm) []*host { s1 = f.host("s-1"); return []*host{s1} })
+	f, s1 := single(t, 256)
 	v := f.viewer()
 	v.setup(id(1), "paid", "")
 	x, _ := f.wanted(rtsp.Setup, s1)
@@ -132,8 +131,7 @@
 
 // Nothing listens at the only server: nothing ran, so a paid session may be told to come again.
 func TestRefusedConnectionNeverRan(t *testing.T) {
-	var s1 *host
-	f := newFarm(t, 256, func(f *farm) []*host { s1 = f.host("s-1"); return []*host{s1} })
+	f, s1 := single(t, 256)
 	s1.kill()
 	v := f.viewer()
 	v.setup(id(1), "paid", "")
@@ -142,13 +140,10 @@
 
 // An idle connection that was cut meanwhile: the SETUP that meets it goes over a new one, as not a byte of it left.
 func TestSetupOverACutConnection(t *testing.T) {
-	var s1 *host
-	f := newFarm(t, 256, func(f *farm) []*host { s1 = f.host("s-1"); return []*host{s1} })
+	f, s1 := single(t, 256)
 	v := f.viewer()
 	v.setup(id(1), "paid", "")
-	x, _ := f.wanted(rtsp.Setup, s1)
-	x.on.answer(x.m, 200, given)
-	v.want("200")
+	x := f.serve(s1, v)
 	x.on.Conn.(*net.TCPConn).SetLinger(0)
 	x.on.Close()
 	f.until("the cut is seen and a new connection is up", func(n *Node) bool {
@@ -156,9 +151,7 @@
 		return len(c) == 1 && c[0].up && len(n.servers[0].held) == 1
 	})
 	v.setup(id(2), "paid", "")
-	y, _ := f.wanted(rtsp.Setup, s1)
-	y.on.answer(y.m, 200, given)
-	v.want("200")
+	y := f.serve(s1, v)
 	y.on.tearDown(id(1), 16) // no connection owns a session that stands
 	if r := v.want(rtsp.TearDown); r.Session() != id(1) {
 		t.Errorf("%s was released", r.Session())
@@ -167,8 +160,7 @@
 
 func TestGivenUp(t *testing.T) {
 	t.Run("and answered after", func(t *testing.T) {
-		var s1 *host
-		f := newFarm(t, 256, func(f *farm) []*host { s1 = f.host("s-1"); return []*host{s1} })
+		f, s1 := single(t, 256)
 		v := f.viewer()
 		v.setup(id(1), "free", "")
 		x, _ := f.wanted(rtsp.Setup, s1)
@@ -187,8 +179,7 @@
 		f.until("forgotten", func(n *Node) bool { return len(n.sess) == 0 && len(n.past) == 0 && n.open == 0 })
 	})
 	t.Run("by closing", func(t *testing.T) {
-		var s1 *host
-		f := newFarm(t, 256, func(f *farm) []*host { s1 = f.host("s-1"); return []*host{s1} })
+		f, s1 := single(t, 256)
 		v := f.viewer()
 		v.setup(id(1), "free", "")
 		f.wanted(rtsp.Setup, s1)
@@ -197,8 +188,7 @@
 		f.until("forgotten", func(n *Node) bool { return len(n.sess) == 0 && n.open == 0 && len(n.viewers) == 0 })
 	})
 	t.Run("hundreds at once", func(t *testing.T) {
-		var s1 *host
-		f := newFarm(t, 256, func(f *farm) []*host { s1 = f.host("s-1"); return []*host{s1} })
+		f, s1 := single(t, 256)
 		v := f.viewer()
 		for k := range 300 {
 			v.setup(id(k), "free", "")
@@ -246,8 +236,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			var s1 *host
-			f := newFarm(t, 256, func(f *farm) []*host { s1 = f.host("s-1"); return []*host{s1} })
+			f, s1 := single(t, 256)
 			v := f.viewer()
 			v.say("%s", c.say)
 			v.want(c.want)
@@ -267,8 +256,7 @@
 
 // Another connection that names an open request's id is refused, and the request goes on.
 func TestAnothersID(t *testing.T) {
-	var s1 *host
-	f := newFarm(t, 256, func(f *farm) []*host { s1 = f.host("s-1"); return []*host{s1} })
+	f, s1 := single(t, 256)
 	v, w := f.viewer(), f.viewer()
 	v.setup(id(1), "paid", "")
 	x, _ := f.wanted(rtsp.Setup, s1)
@@ -280,8 +268,7 @@
 
 // Hundreds of connections that say nothing give way, and a usual viewer is served beside them.
 func TestSilentConnectionsGiveWay(t *testing.T) {
-	var s1 *host
-	f := newFarm(t, 256, func(f *farm) []*host { s1 = f.host("s-1"); return []*host{s1} })
+	f, s1 := single(t, 256)
 	v := f.viewer()
 	v.setup(id(1), "free", "")
 	x, _ := f.wanted(rtsp.Setup, s1)
@@ -301,16 +288,13 @@
 	v.want("200")
 	w := f.viewer()
 	w.setup(id(2), "free", "")
-	y, _ := f.wanted(rtsp.Setup, s1)
-	y.on.answer(y.m, 200, given)
-	w.want("200")
+	f.serve(s1, w)
 	f.until("the silent are gone", func(n *Node) bool { return len(n.viewers) == 2 })
 }
 
 // Connections that only test, and hold every place, give way to a usual viewer's new one, which has said nothing yet.
 func TestNewConnectionIsNotTheOneThatGivesWay(t *testing.T) {
-	var s1 *host
-	f := newFarm(t, 64, func(f *farm) []*host { s1 = f.host("s-1"); return []*host{s1} })
+	f, s1 := single(t, 64)
 	for range share.Viewers(64) + 5 {
 		v := f.viewer()
 		v.say("OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n")
@@ -319,15 +303,12 @@
 	w := f.viewer()
 	f.until("it is taken", func(n *Node) bool { return n.counts["viewers"] == share.Viewers(64)+6 })
 	w.setup(id(1), "free", "")
-	x, _ := f.wanted(rtsp.Setup, s1)
-	x.on.answer(x.m, 200, given)
-	w.want("200")
+	f.serve(s1, w)
 }
 
 // Requests past a connection's bound are told at once to come again, which is true: nothing of them ran.
 func TestRequestsPastTheBound(t *testing.T) {
-	var s1 *host
-	f := newFarm(t, 256, func(f *farm) []*host { s1 = f.host("s-1"); return []*host{s1} })
+	f, s1 := single(t, 256)
 	v := f.viewer()
 	for k := range share.Open + 1 {
 		v.setup(id(k), "free", "")
@@ -346,26 +327,20 @@
 
 func TestServerLost(t *testing.T) {
 	t.Run("its process dies", func(t *testing.T) {
-		var s1 *host
-		f := newFarm(t, 256, func(f *farm) []*host { s1 = f.host("s-1"); return []*host{s1} })
+		f, s1 := single(t, 256)
 		v := f.viewer()
 		v.setup(id(1), "paid", "")
-		x, _ := f.wanted(rtsp.Setup, s1)
-		x.on.answer(x.m, 200, given)
-		v.want("200")
+		f.serve(s1, v)
 		s1.kill()
 		if r := v.want(rtsp.TearDown); cause(r) != causeCut {
 			t.Errorf("released with %+v", r.Header)
 		}
 	})
 	t.Run("it is silent", func(t *testing.T) {
-		var s1 *host
-		f := newFarm(t, 256, func(f *farm) []*host { s1 = f.host("s-1"); return []*host{s1} })
+		f, s1 := single(t, 256)
 		v := f.viewer()
 		v.setup(id(1), "paid", "")
-		x, _ := f.wanted(rtsp.Setup, s1)
-		x.on.answer(x.m, 200, given)
-		v.want("200")
+		f.serve(s1, v)
 		s1.deaf.Store(true) // its connections stay open
 		if r := v.want(rtsp.TearDown); cause(r) != causeCut {
 			t.Errorf("released with %+v", r.Header)
@@ -374,8 +349,7 @@
 }
 
 func TestHandedOver(t *testing.T) {
-	var s1 *host
-	f := newFarm(t, 256, func(f *farm) []*host { s1 = f.host("s-1"); return []*host{s1} })
+	f, s1 := single(t, 256)
 	v := f.viewer()
 	v.setup(id(1), "paid", ";at:s-1")
 	v.setup(id(1), "paid", ";at:s-1")
@@ -396,6 +370,19 @@
 	if r := v.want(rtsp.TearDown); r.Session() != id(3) {
 		t.Errorf("released %s", r.Session())
 	}
+	f.see(func(n *Node) { // what is kept of it is small
+		if s := n.sess[id(2)]; s == nil || s.body != nil {
+			t.Error("a handed session keeps its description")
+		}
+		n.start.MemoryMB = 0
+	})
+	w := f.viewer()
+	for k := range share.Handed(0) + 5 { // claims without end: those past the bound are released at once
+		w.setup(id(100+k), "free", ";at:s-1")
+	}
+	w.want(rtsp.TearDown)
+	f.until("bounded", func(n *Node) bool { return len(n.sess) == share.Handed(0) })
+	f.see(func(n *Node) { n.start.MemoryMB = 64 })
 	p.tearDown(id(4), 41) // its release comes before it is told
 	f.until("remembered", func(n *Node) bool { return n.early[id(4)] })
 	v.setup(id(4), "paid", ";at:s-1")
@@ -406,22 +393,17 @@
 
 // A release finds its viewer's connection closed: it goes out on another that served a session.
 func TestReleasedOnAnotherConnection(t *testing.T) {
-	var s1 *host
-	f := newFarm(t, 256, func(f *farm) []*host { s1 = f.host("s-1"); return []*host{s1} })
+	f, s1 := single(t, 256)
 	v := f.viewer()
 	v.setup(id(1), "free", "")
-	x, _ := f.wanted(rtsp.Setup, s1)
-	x.on.answer(x.m, 200, given)
-	v.want("200")
+	x := f.serve(s1, v)
 	v.Close()
 	f.until("its connection is gone", func(n *Node) bool { return len(n.viewers) == 0 && len(n.sess) == 1 })
 	x.on.tearDown(id(1), 16)
 	f.until("the release is owed", func(n *Node) bool { return len(n.owed) == 1 })
 	w := f.viewer()
 	w.setup(id(2), "free", "")
-	y, _ := f.wanted(rtsp.Setup, s1)
-	y.on.answer(y.m, 200, given)
-	w.want("200")
+	f.serve(s1, w)
 	if r := w.want(rtsp.TearDown); r.Session() != id(1) {
 		t.Errorf("released %s", r.Session())
 	}
@@ -480,8 +462,7 @@
 
 // A drain that is told while a SETUP waits for its connection: it is never sent.
 func TestDrainBeforeTheSetupLeft(t *testing.T) {
-	var s1 *host
-	f := newFarm(t, 256, func(f *farm) []*host { s1 = f.host("s-1"); return []*host{s1} })
+	f, s1 := single(t, 256)
 	v := f.viewer()
 	f.see(func(n *Node) { // the connection that it takes is still being opened
 		n.servers[0].conns = []*link{{sv: n.servers[0], stop: func() {}}}
@@ -493,8 +474,7 @@
 }
 
 func TestReload(t *testing.T) {
-	var s1 *host
-	f := newFarm(t, 256, func(f *farm) []*host { s1 = f.host("s-1"); return []*host{s1} })
+	f, s1 := single(t, 256)
 	f.followed()
 	bad := make(chan bool, 1)
 	f.reread = func() (*start.Start, error) { bad <- true; return nil, errors.New("half a file") }
@@ -517,8 +497,7 @@
 }
 
 func TestTerminated(t *testing.T) {
-	var s1 *host
-	f := newFarm(t, 256, func(f *farm) []*host { s1 = f.host("s-1"); return []*host{s1} })
+	f, s1 := single(t, 256)
 	v := f.viewer()
 	ping := func(want string) {
 		t.Helper()
@@ -532,9 +511,7 @@
 	ping("503")
 	w := f.viewer() // connections and requests are still taken
 	w.setup(id(1), "free", "")
-	x, _ := f.wanted(rtsp.Setup, s1)
-	x.on.answer(x.m, 200, given)
-	w.want("200")
+	f.serve(s1, w)
 	// While its session stands the node stays, but SIGKILL, 0.7 s after the longest setup timeout, finds nothing.
 	f.see(func(n *Node) {
 		if d := n.life.Next() - drains; d < 1.2 || d > n.start.SetupTimeout+0.7 {
@@ -662,8 +639,7 @@
 
 // It ends though the loop never heard of a server's connection that is open and silent.
 func TestEndsWithAConnectionNotHeardOf(t *testing.T) {
-	var s1 *host
-	f := newFarm(t, 256, func(f *farm) []*host { s1 = f.host("s-1"); return []*host{s1} })
+	f, _ := single(t, 256)
 	f.see(func(n *Node) {
 		n.dial(n.servers[0])
 		for len(n.events) == 0 { // it is up, and says so to a loop that is over
--- /dev/null
+++ b/internal/node/orders.go
@@ -0,0 +1,39 @@
+package node
+
+import (
+	"fmt"
+
+	"rainhaven/choice/lifecycle"
+)
+
+// orders carries out what the life cycle decides.
+type orders struct{ n *Node }
+
+// Reload reads the configuration file; a coordinator that it names anew is followed from where the last one was.
+func (o orders) Reload() {
+	n := o.n
+	s, err := n.reread()
+	if err == nil && s.Coordinator == "" {
+		err = fmt.Errorf("no coordinator")
+	}
+	if err != nil {
+		n.log.Warn("the configuration file can't be used; the old one stays in force", str("why", err.Error()))
+		n.life.Reloaded(err.Error())
+		return
+	}
+	n.log.Info("read the configuration file again", str("coordinator", s.Coordinator))
+	n.start.Coordinator = s.Coordinator
+	n.followFeed(s.Coordinator)
+	n.life.Reloaded("")
+}
+
+// Drain has tests fail; requests are still taken.
+func (o orders) Drain() { o.n.ready = false }
+
+// Cut ends it.
+func (o orders) Cut() { o.n.life.Ended() }
+
+func (o orders) Exit(code lifecycle.Code, why string) {
+	o.n.over = true
+	o.n.log.Info("exit", num("code", int(code)), str("why", why))
+}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -385,7 +385,7 @@
 	for _, sv := range slices.Clone(n.servers) {
 		up, opening := 0, false
 		for _, l := range slices.Clone(sv.conns) {
-			if l.up && len(l.open) == 0 && sv.testOn != l && n.start.Idle > 0 && n.now-l.used > 0.8*n.start.Idle {
+			if l.up && len(l.open) == 0 && sv.testOn != l && share.Stale(n.now, l.used, n.start.Idle) {
 				n.retire(l)
 				continue
 			}
--- /dev/null
+++ b/internal/node/sessions.go
@@ -0,0 +1,247 @@
+package node
+
+import (
+	"fmt"
+	"slices"
+
+	"go.uber.org/zap"
+
+	"rainhaven/choice"
+	"rainhaven/choice/share"
+	"rainhaven/internal/rtsp"
+	"rainhaven/internal/wire"
+)
+
+// ask takes a new session to the module.
+func (n *Node) ask(v *viewer, a ask) {
+	s := &sess{ask: a, viewer: v, rung: n.start.Figures.Groups[a.group].Floor, from: -1}
+	s.request.SetupTimeout = n.now + max(a.patience-share.Margin, 0)
+	n.sess[s.id] = s
+	v.held = append(v.held, s)
+	v.Open++
+	n.open++
+	n.counts["asked"]++
+	n.log.Debug("asked", str("sess", s.id), str("class", s.class), num("home", s.request.StartCell), num("copies", s.request.Span), zap.Float64("patience", s.patience))
+	n.feed(wire.Event{Kind: wire.Ask, Request: s.request})
+}
+
+// handed takes a session that stands already. It wants no answer.
+func (n *Node) handed(v *viewer, a ask) {
+	if n.sess[a.id] != nil {
+		return
+	}
+	k := slices.IndexFunc(n.servers, func(s *server) bool { return s.id == a.at })
+	if k < 0 || n.early[a.id] || len(n.sess)-n.open >= share.Handed(n.start.MemoryMB) {
+		delete(n.early, a.id)
+		v.send(tearDown(a.url, a.id, causeCut))
+		return
+	}
+	a.body = nil
+	s := &sess{ask: a, viewer: v, state: standing, server: n.servers[k], rung: n.start.Figures.Groups[a.group].Floor}
+	n.sess[s.id] = s
+	v.held = append(v.held, s)
+	v.Standing++
+	v.proven = true
+	s.server.held = append(s.server.held, s)
+	n.counts["handed"]++
+	n.feed(wire.Event{Kind: wire.Handed, Request: s.request, Server: s.server.number})
+}
+
+// carry takes a session's SETUP to a connection.
+func (n *Node) carry(s *sess) {
+	l := n.take(s.server)
+	if l == nil {
+		n.setupOver(s, choice.Unsent, noReport)
+		return
+	}
+	s.on, s.from = l, -1
+	l.open = append(l.open, s)
+	if l.up {
+		n.sendSetup(s, l)
+	}
+}
+
+// unlink takes a SETUP off its connection.
+func (n *Node) unlink(s *sess) {
+	if s.on != nil {
+		s.on.open = slices.DeleteFunc(s.on.open, func(o *sess) bool { return o == s })
+		s.on.used = n.now
+		s.on = nil
+	}
+}
+
+// setupOver ends a SETUP that is out.
+func (n *Node) setupOver(s *sess, o choice.Outcome, r choice.Report) {
+	sv := s.server
+	n.log.Debug("setup over", str("sess", s.id), str("server", sv.id), num("outcome", int(o)))
+	n.counts[fmt.Sprintf("outcome %d", o)]++
+	n.unlink(s)
+	n.cancel(s.waiting)
+	s.state, s.server, s.waiting = asked, nil, nil
+	n.feed(wire.Event{Kind: wire.Ended, Request: choice.Request{ID: choice.SessID(s.id)}, Server: sv.number, Outcome: o, Report: r})
+	n.settleServer(sv)
+}
+
+// withdraw tells a server that a SETUP is given up. Its connection is of no more use where it was silent.
+func (n *Node) withdraw(s *sess, silent bool) {
+	l := s.on
+	if l == nil || !l.up || s.from < 0 {
+		return
+	}
+	l.send(tearDown(s.url, s.id, 0))
+	if len(n.past) < mostPast {
+		id, sv := s.id, s.server
+		n.past[id] = sv
+		n.after(keepPast, func() {
+			if n.past[id] == sv {
+				delete(n.past, id)
+			}
+		})
+	}
+	if silent && len(l.open) == 1 {
+		n.unlink(s)
+		n.retire(l)
+	}
+}
+
+// timedOut ends a SETUP that was waited for long enough.
+func (n *Node) timedOut(s *sess) {
+	o := choice.TimedOut
+	if s.on == nil || !s.on.up || s.from < 0 {
+		o = choice.NoConnection // not a byte of it left
+	}
+	s.waiting = nil
+	n.withdraw(s, true)
+	n.setupOver(s, o, noReport)
+}
+
+// giveUp takes it that the viewer has given up its SETUP: nothing is owed.
+func (n *Node) giveUp(s *sess) {
+	was, sv := s.state, s.server
+	if was == out {
+		n.withdraw(s, false)
+		n.unlink(s)
+	}
+	n.counts["given up"]++
+	n.forget(s)
+	n.feed(wire.Event{Kind: wire.Left, Request: choice.Request{ID: choice.SessID(s.id)}})
+	if was == out {
+		n.feed(wire.Event{Kind: wire.Ended, Request: choice.Request{ID: choice.SessID(s.id)}, Server: sv.number, Outcome: choice.Cancelled, Final: true, Report: noReport})
+		n.settleServer(sv)
+	}
+}
+
+// forget takes a session from all tables.
+func (n *Node) forget(s *sess) {
+	n.cancel(s.waiting)
+	s.waiting = nil
+	n.unlink(s)
+	if v := s.viewer; v != nil {
+		v.held = slices.DeleteFunc(v.held, func(o *sess) bool { return o == s })
+		if s.state == standing {
+			v.Standing--
+		} else {
+			v.Open--
+		}
+		v.Used = n.now
+	}
+	if s.state != standing {
+		n.open--
+	} else if s.server != nil {
+		s.server.held = slices.DeleteFunc(s.server.held, func(o *sess) bool { return o == s })
+	}
+	delete(n.sess, s.id)
+}
+
+// stands takes a server's good answer and gives it to the viewer.
+func (n *Node) stands(s *sess, m *rtsp.Message) {
+	n.unlink(s)
+	n.cancel(s.waiting)
+	s.waiting, s.state = nil, standing
+	n.open--
+	s.server.held = append(s.server.held, s)
+	n.counts["served"]++
+	n.feed(wire.Event{Kind: wire.Playing, Request: choice.Request{ID: choice.SessID(s.id)}, Server: s.server.number})
+	v := s.viewer
+	v.Open--
+	v.Standing++
+	v.proven = true
+	_, s.answered = v.send(served(s.id, m.Body))
+	s.body = nil
+}
+
+// ended ends a session that stood, and releases its viewer.
+func (n *Node) ended(s *sess, o choice.Outcome, cause int, r choice.Report) {
+	sv := s.server
+	v := s.viewer
+	n.counts[fmt.Sprintf("ended %d", o)]++
+	n.forget(s)
+	n.feed(wire.Event{Kind: wire.Ended, Request: choice.Request{ID: choice.SessID(s.id)}, Server: sv.number, Outcome: o, Final: true, Report: r})
+	if cause != causeMoved {
+		n.release(v, tearDown(s.url, s.id, cause))
+	}
+	n.settleServer(sv)
+}
+
+// release sends a viewer its session's end: on its own connection, else on any that served a session.
+func (n *Node) release(v *viewer, b []byte) {
+	if v != nil && !v.closed {
+		if from, _ := v.send(b); from >= 0 {
+			return
+		}
+	}
+	for i := len(n.viewers) - 1; i >= 0; i-- {
+		if o := n.viewers[i]; o.proven && !o.isEnding() {
+			if from, _ := o.send(b); from >= 0 {
+				return
+			}
+		}
+	}
+	if len(n.owed) < mostPast {
+		n.owed = append(n.owed, owed{b, n.now + keepOwed})
+	}
+}
+
+// pay sends the releases that found no connection before.
+func (n *Node) pay() {
+	list := n.owed
+	n.owed = nil
+	for _, o := range list {
+		if n.now < o.until {
+			had := len(n.owed)
+			n.release(nil, o.b)
+			if len(n.owed) > had {
+				n.owed[had].until = o.until
+			}
+		}
+	}
+}
+
+// viewerLeft ends a session that stood because its viewer has, or is gone.
+func (n *Node) viewerLeft(s *sess) {
+	n.toServer(s.server, tearDown(s.url, s.id, causeMoved))
+	n.feed(wire.Event{Kind: wire.Left, Request: choice.Request{ID: choice.SessID(s.id)}})
+	n.ended(s, choice.Cancelled, causeMoved, noReport)
+}
+
+// released takes a server's release.
+func (n *Node) released(sv *server, s *sess, id string, m *rtsp.Message) {
+	switch {
+	case s == nil:
+		if validID(id) && n.sess[id] == nil && len(n.early) < mostPast {
+			n.early[id] = true
+			n.after(keepPast, func() { delete(n.early, id) })
+		}
+	case s.state == out:
+		n.setupOver(s, choice.Reset, readReport(m))
+	case s.state == standing:
+		switch c := cause(m); c {
+		case causeOver:
+			n.ended(s, choice.Served, c, readReport(m))
+		case causeMoved:
+			n.ended(s, choice.Cancelled, c, readReport(m))
+		default:
+			n.ended(s, choice.Reset, causeCut, readReport(m))
+		}
+	}
+}
--- a/internal/node/standin_test.go
+++ b/internal/node/standin_test.go
@@ -354,3 +354,18 @@
 }
 
 func id(k int) string { return fmt.Sprintf("%016x", 0xab00000000000000+uint64(k)) }
+
+// single is a farm with one host.
+func single(t testing.TB, sockets int) (f *farm, h *host) {
+	f = newFarm(t, sockets, func(f *farm) []*host { h = f.host("s-1"); return []*host{h} })
+	return f, h
+}
+
+// serve has the host answer the next SETUP, and takes the answer at its viewer.
+func (f *farm) serve(h *host, v *peer) heard {
+	f.t.Helper()
+	x, _ := f.wanted(rtsp.Setup, h)
+	x.on.answer(x.m, 200, given)
+	v.want("200")
+	return x
+}
--- a/internal/node/viewer.go
+++ b/internal/node/viewer.go
@@ -17,8 +17,6 @@
 type viewer struct {
 	*conn
 	share.Holding
-	used   float64 // when it last had something of a session's to do
-	wrong  int
 	proven bool // a session was served on it
 	closed bool
 	held   []*sess // asked or standing with this connection; emptied as they end
@@ -87,7 +85,7 @@
 }
 
 func (n *Node) opened(v *viewer) {
-	v.Since, v.used = n.now, n.now
+	v.Since, v.Used = n.now, n.now
 	n.counts["viewers"]++
 	n.viewers = append(n.viewers, v)
 	n.makeRoom()
@@ -108,7 +106,7 @@
 			if v.isEnding() || v.Rank(n.now) < 0 {
 				continue
 			}
-			if first == nil || v.Rank(n.now) < first.Rank(n.now) || v.Rank(n.now) == first.Rank(n.now) && v.used < first.used {
+			if first == nil || v.Rank(n.now) < first.Rank(n.now) || v.Rank(n.now) == first.Rank(n.now) && v.Used < first.Used {
 				first = v
 			}
 		}
@@ -123,7 +121,7 @@
 // sweep closes viewers' connections that have had no session for long.
 func (n *Node) sweep() {
 	for _, v := range n.viewers {
-		if v.Spoke && v.Open == 0 && v.Standing == 0 && n.now-v.used > share.Unused && !v.isEnding() {
+		if v.Idle(n.now) && !v.isEnding() {
 			n.log.Debug("an unused connection is closed", str("from", v.nc.RemoteAddr().String()))
 			v.cut()
 		}
@@ -186,7 +184,7 @@
 		n.log.Debug("said on a connection that is being closed", str("from", v.nc.RemoteAddr().String()), str("method", m.Method), str("sess", m.Session()))
 		return
 	}
-	v.Spoke, v.used = true, n.now
+	v.Spoke, v.Used = true, n.now
 	switch m.Method {
 	case rtsp.Setup:
 		n.setup(v, m)
@@ -209,7 +207,7 @@
 func (n *Node) refuseWrong(v *viewer, m *rtsp.Message, status int) {
 	n.wrongs++
 	v.send(response(m, status))
-	if v.wrong++; v.wrong >= share.Wrong && v.Open == 0 && v.Standing == 0 {
+	if v.Wrong++; v.Senseless() {
 		v.end()
 	}
 }
@@ -234,7 +232,7 @@
 		}
 		return
 	}
-	if v.Open >= share.Open || n.open >= share.OpenInAll {
+	if v.TooMany(n.open) {
 		n.log.Debug("past the bound on open requests", str("from", v.nc.RemoteAddr().String()), num("open", v.Open), num("all", n.open))
 		n.counts["past the bound"]++
 		v.send(response(m, rtsp.ServiceUnavailable))
