--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"time"
 
+	"go.uber.org/zap"
+
 	"rainhaven/choice/share"
 	"rainhaven/internal/rtsp"
 )
@@ -33,6 +35,7 @@
 // conn is a connection's sending side: what is queued is written by a goroutine of its own, in order.
 type conn struct {
 	nc      net.Conn
+	log     *zap.Logger
 	mu      sync.Mutex
 	out     []byte // at most mostQueued
 	queued  int64  // bytes ever queued
@@ -45,8 +48,8 @@
 	ended   chan struct{} // closed when the writer is through
 }
 
-func newConn(nc net.Conn) *conn {
-	c := &conn{nc: nc, wake: make(chan struct{}, 1), ended: make(chan struct{})}
+func newConn(nc net.Conn, log *zap.Logger) *conn {
+	c := &conn{nc: nc, log: log, wake: make(chan struct{}, 1), ended: make(chan struct{})}
 	go c.write()
 	return c
 }
@@ -55,7 +58,9 @@
 func (c *conn) send(b []byte) (from, to int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.queue(b)
+	from, to = c.queue(b)
+	c.traceSent(b, from, to, false)
+	return from, to
 }
 
 // queue is send with the lock held.
@@ -95,8 +100,10 @@
 		from = c.queued
 		c.queued += int64(n)
 		c.written += int64(n)
+		c.traceSent(b, from, c.queued, true)
 		return from, c.queued
 	}
+	defer func() { c.traceSent(b, from, to, false) }()
 	from, to = c.queue(b[n:])
 	if from >= 0 && n > 0 {
 		c.queued += int64(n)
--- a/internal/node/conn_test.go
+++ b/internal/node/conn_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"fmt"
+	"go.uber.org/zap"
 	"io"
 	"net"
 	"testing"
@@ -13,7 +14,7 @@
 // What is queued while a write is under way comes whole and in order. Two buffers were one after a wake-up for nothing.
 func TestQueueKeepsOrder(t *testing.T) {
 	a, b := net.Pipe()
-	c := newConn(a)
+	c := newConn(a, zap.NewNop())
 	defer c.close()
 	in := bufio.NewReader(b)
 	for k := range 20000 {
@@ -34,7 +35,7 @@
 func TestPeerThatDoesNotRead(t *testing.T) {
 	a, b := net.Pipe()
 	defer b.Close()
-	c := newConn(a)
+	c := newConn(a, zap.NewNop())
 	k := 0
 	for ; k < 1000; k++ {
 		if from, _ := c.send(make([]byte, 1000)); from < 0 {
@@ -91,7 +92,7 @@
 // What is written at once and what is queued keep their order, also where the peer's window is full in between.
 func TestAnswersAtOnceKeepOrder(t *testing.T) {
 	a, b := tcpPair(t)
-	c := newConn(a)
+	c := newConn(a, zap.NewNop())
 	want := 0
 	for k, behind := 0, 0; behind < 64<<10; k++ { // until much more waits than one message
 		line := fmt.Appendf(nil, "%08d %s\n", k, bytes.Repeat([]byte{'a' + byte(k%26)}, 990))
@@ -135,7 +136,7 @@
 func TestKeptHasABound(t *testing.T) {
 	a, b := tcpPair(t)
 	go io.Copy(io.Discard, b)
-	c := newConn(a)
+	c := newConn(a, zap.NewNop())
 	defer c.close()
 	for k := range mostKept + 100 {
 		for end := time.Now().Add(patience); c.left() < int64(8*k-64<<10) && time.Now().Before(end); time.Sleep(time.Millisecond) {
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -53,7 +53,7 @@
 func (f *farm) link(nc net.Conn) (l *link) {
 	f.see(func(n *Node) {
 		s := n.servers[0]
-		l = &link{conn: newConn(nc), sv: s, up: true, used: n.now}
+		l = &link{conn: newConn(nc, zap.NewNop()), sv: s, up: true, used: n.now}
 		s.conns = append(s.conns, l)
 	})
 	f.t.Cleanup(func() { l.close() })
@@ -158,7 +158,7 @@
 func TestCutWaitsForTheAnswer(t *testing.T) {
 	a, b := net.Pipe()
 	defer b.Close()
-	c := newConn(a)
+	c := newConn(a, zap.NewNop())
 	answer := refusal(id(1), rtsp.ServiceUnavailable, 0)
 	c.send(answer)
 	c.cut()
@@ -312,7 +312,7 @@
 		t.Fatal(err)
 	}
 	defer nc.Close()
-	f.see(func(n *Node) { l.conn = newConn(nc); n.openedServer(l) })
+	f.see(func(n *Node) { l.conn = newConn(nc, zap.NewNop()); n.openedServer(l) })
 	t.Cleanup(func() { l.close() })
 	w := f.viewer()
 	w.setup(id(2), "free", "")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -291,14 +291,14 @@
 	}
 }
 
-// compare logs, once a second, what the module counts at each server beside what the node has there, where debug is on.
+// compare logs, once a second, the servers at which the module's count of sessions differs from the node's, where debug is on.
 func (n *Node) compare() {
 	if n.now-n.compared < 1 || !n.log.Core().Enabled(zap.DebugLevel) {
 		return
 	}
 	n.compared = n.now
 	for _, b := range n.front.Beliefs() {
-		if sv := n.numbers[b.Server]; sv != nil {
+		if sv := n.numbers[b.Server]; sv != nil && b.Sessions != len(sv.held)+sv.out() {
 			n.log.Debug("counts", str("server", sv.id), num("module", b.Sessions), num("standing", len(sv.held)), num("out", sv.out()), zap.Float64("load", b.Load), zap.Bool("aside", b.Aside))
 		}
 	}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -149,7 +149,7 @@
 		return
 	}
 	defer context.AfterFunc(n.ctx, func() { nc.Close() })() // the loop may be over before it hears of this connection
-	c := newConn(nc)
+	c := newConn(nc, n.log)
 	if !n.tell(event{do: func() { l.conn = c; n.openedServer(l) }}) {
 		c.close()
 		return
@@ -279,6 +279,7 @@
 
 // heardServer takes one message of a server's.
 func (n *Node) heardServer(l *link, m *rtsp.Message) {
+	n.traceReceived(l.conn, m)
 	sv := l.sv
 	if l.closed {
 		n.late(sv, l, m)
--- a/internal/node/viewer.go
+++ b/internal/node/viewer.go
@@ -36,7 +36,7 @@
 			time.Sleep(5 * time.Millisecond)
 			continue
 		}
-		v := &viewer{conn: newConn(nc)}
+		v := &viewer{conn: newConn(nc, n.log)}
 		if !n.tell(event{do: func() { n.opened(v) }}) {
 			v.close()
 			return
@@ -212,6 +212,7 @@
 
 // heardViewer takes one message of a viewer's.
 func (n *Node) heardViewer(v *viewer, m *rtsp.Message) {
+	n.traceReceived(v.conn, m)
 	if v.closed || v.isEnding() {
 		n.log.Debug("said on a connection that is being closed", str("from", v.nc.RemoteAddr().String()), str("method", m.Method), str("sess", m.Session()))
 		return
