--- a/internal/node/conn_test.go
+++ b/internal/node/conn_test.go
@@ -73,7 +73,7 @@
 // the request passes for unanswered.
 func TestAnswerLeavesBeforeTheWritersTurn(t *testing.T) {
 	a, b := tcpPair(t)
-	c := &conn{nc: a, wake: make(chan struct{}, 1), ended: make(chan struct{})} // its writer never has its turn
+	c := &conn{nc: a, log: zap.NewNop(), wake: make(chan struct{}, 1), ended: make(chan struct{})} // its writer never has its turn
 	for k := range 3 {
 		said := fmt.Appendf(nil, "answer %d", k)
 		if from, to := c.sendNow(said); from != int64(8*k) || to != int64(8*k+8) {
@@ -123,7 +123,7 @@
 // A write's time limit that has passed does not keep later answers waiting for the writer.
 func TestAnswerAfterAnOldTimeLimit(t *testing.T) {
 	a, b := tcpPair(t)
-	c := &conn{nc: a, wake: make(chan struct{}, 1), ended: make(chan struct{})} // its writer never has its turn
+	c := &conn{nc: a, log: zap.NewNop(), wake: make(chan struct{}, 1), ended: make(chan struct{})} // its writer never has its turn
 	a.SetWriteDeadline(time.Now().Add(-time.Second))
 	c.sendNow([]byte("later"))
 	got := make([]byte, 5)
