--- a/cmd/rainhaven/main.go
+++ b/cmd/rainhaven/main.go
@@ -81,7 +81,7 @@
 	return root
 }
 
-// logger writes structured logs to stderr; lines of one kind are sampled past the first hundred a second.
+// logger writes structured logs to stderr; above the debug level lines of one kind are sampled past the first hundred a second.
 func logger(level, format string) (*zap.Logger, error) {
 	log, _, err := leveled(level, format)
 	return log, err
@@ -111,6 +111,9 @@
 		}
 	}
 	core := zapcore.NewCore(e, zapcore.Lock(os.Stderr), least)
+	if l == zapcore.DebugLevel { // whoever follows one request needs every line of it
+		return zap.New(core), set, nil
+	}
 	return zap.New(zapcore.NewSamplerWithOptions(core, 1e9, 100, 100)), set, nil
 }
 
