End nothing before what came before it was heard: one guard, stopped readers, releases kept

Cause: the node acted on an end before what it ends: a release (cause 16, 31) before its answer counted as a reset and the SETUP went elsewhere; an idle close and the exit threw away requests that readers had already taken. Change: internal/invariant, a guard through which each attempt, copy, answer and close goes, with typed reasons, counted, logged, an error in tests; a client's connection closes only once its reader has stopped; the exit hears every reader first; such a release waits for its answer and is passed on after it, and its SETUP is never placed again (choice.Departed).

--- a/choice/account/account.go
+++ b/choice/account/account.go
@@ -95,7 +95,8 @@
 
 var outcomes = map[choice.Outcome]string{choice.Served: "served", choice.ServerError: "the box failed; it may have run", choice.Full: "the box is full; it never ran",
 	choice.TimedOut: "no answer within its wait; it may have run", choice.NoConnection: "no connection; it never ran", choice.Reset: "the connection broke; it may have run",
-	choice.Cancelled: "given up", choice.Unsent: "not sent, the box left the list"}
+	choice.Cancelled: "given up", choice.Unsent: "not sent, the box left the list",
+	choice.Departed: "ended before its answer came"}
 
 // Say puts a session's entries into words, a line each, instants from the first one on.
 func Say(list []Entry) (lines []string) {
--- a/choice/api.go
+++ b/choice/api.go
@@ -114,6 +114,7 @@
 	Reset
 	Cancelled
 	Unsent
+	Departed // the session stood and has ended there, and its answer did not come in time: it is not placed again
 )
 
 // Report is a server's word on its load; a negative figure was not told.
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -553,6 +553,11 @@
 		s.mayRan = true
 	}
 	s.tried = append(s.tried, sv)
+	if o == Departed { // its viewer has had its session: another one would be forwarded after its end
+		f.touched = append(f.touched, s)
+		f.giveUp(s)
+		return
+	}
 	f.place(s)
 }
 
--- a/internal/node/acts.go
+++ b/internal/node/acts.go
@@ -37,7 +37,11 @@
 		return
 	}
 	n.log.Debug("setup", str("sess", s.id), str("server", sv.id), num("rung", s.rung), zap.Float64("wait", wait))
-	s.state, s.server, s.until, s.resent = out, sv, n.now+wait, 0
+	if !n.guard.Attempt(n.now, s.id) {
+		n.feed(wire.Event{Kind: wire.Ended, Request: choice.Request{ID: id}, Server: number, Outcome: choice.Unsent, Report: noReport})
+		return
+	}
+	s.state, s.server, s.until, s.resent, s.local = out, sv, n.now+wait, 0, 0
 	s.waiting = n.after(wait, func() { n.timedOut(s) })
 	n.carry(s)
 }
@@ -64,14 +68,8 @@
 		why := account.Say([]account.Entry{{At: n.now, Sess: id, Act: act, Seconds: comeBack, Standing: st, Holders: len(st.Holders)}})
 		n.log.Debug("refused", str("sess", s.id), num("status", status), zap.Strings("why", why))
 	}
-	v := s.viewer
+	n.refuse(s.viewer, s.id, status, comeBack)
 	n.forget(s)
-	if v == nil {
-		return
-	}
-	if from, _ := v.send(refusal(s.id, status, comeBack)); from < 0 {
-		n.log.Debug("an answer finds its connection closing", str("sess", s.id))
-	}
 }
 
 func (a acts) Probe(number choice.ServerID) {
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -222,6 +222,13 @@
 	return true
 }
 
+// isFlushed tells whether all that was queued has been written, or never will be.
+func (c *conn) isFlushed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failed || c.written == c.queued
+}
+
 func (c *conn) isEnding() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- /dev/null
+++ b/internal/node/guard.go
@@ -0,0 +1,41 @@
+package node
+
+import (
+	"rainhaven/choice"
+	"rainhaven/internal/invariant"
+)
+
+// budget is the platform's budget of further attempts, as the settings state it.
+func (n *Node) budget() invariant.Budget {
+	f := n.start.Figures
+	return invariant.Budget{Spare: f.SpareSetups, Share: f.SetupShare, Window: f.SetupWindow}
+}
+
+// violated logs a violation; the guard counts it.
+func (n *Node) violated(v invariant.Violation) {
+	n.log.Error("invariant violated: "+v.Reason.String(), str("request", v.Request), str("detail", v.Detail))
+}
+
+// unrun tells whether an outcome proves that its attempt had no effect.
+func unrun(o choice.Outcome) bool {
+	return o == choice.Full || o == choice.NoConnection || o == choice.Unsent
+}
+
+// refusalKind is what a refusing status promises: 453, 454 and 503 that nothing ran.
+func refusalKind(status int) invariant.Answer {
+	switch status {
+	case 453, 454, 503:
+		return invariant.Refused
+	}
+	return invariant.Failed
+}
+
+// refuse writes the final answer that refuses an open request, unless it has had one.
+func (n *Node) refuse(v *viewer, id string, status int, comeBack float64) {
+	if !n.guard.Answer(n.now, id, refusalKind(status)) || v == nil {
+		return
+	}
+	if from, _ := v.send(refusal(id, status, comeBack)); from < 0 {
+		n.log.Info("an answer found its client's connection ended", str("sess", id), str("from", v.peer()))
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,7 +13,6 @@
 	"net"
 	"os"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -22,6 +21,7 @@
 	"rainhaven/choice"
 	"rainhaven/choice/lifecycle"
 	"rainhaven/choice/share"
+	"rainhaven/internal/invariant"
 	"rainhaven/internal/node/feed"
 	"rainhaven/internal/node/start"
 	"rainhaven/internal/wire"
@@ -47,9 +47,11 @@
 	until    float64 // the SETUP is waited for
 	waiting  *alarm
 	rung     int
-	answered int64   // where the answer ends on the viewer's connection
-	resent   int     // how often its SETUP, of which nothing had left, went over a new connection
-	since    float64 // when it was answered, or handed over
+	answered int64    // where the answer ends on the viewer's connection
+	resent   int      // how often its SETUP, of which nothing had left, went over a new connection
+	since    float64  // when it was answered, or handed over
+	release  *release // its server's release, where that came before its answer
+	local    int      // how often the own machine had no connection for its SETUP
 }
 
 // event is something for the loop to do.
@@ -65,6 +67,7 @@
 	events chan event
 
 	front *choice.Front
+	guard *invariant.Guard
 	life  *lifecycle.Life
 	began time.Time
 	now   float64
@@ -72,18 +75,19 @@
 	ready bool
 	over  bool
 
-	sess    map[string]*sess            // emptied by final answers and ends
-	servers []*server                   // in the order of the list; emptied by settleServer
-	numbers map[choice.ServerID]*server // the same
-	past    map[string]*server          // SETUPs given up, whose answer may still come; emptied by their alarms
-	early   map[string]bool             // releases of sessions not known (yet); emptied by their alarms
-	owed    []owed                      // releases without a viewer's connection; emptied by time
-	viewers []*viewer
-	open    int // requests without their answers
-	alarms  alarms
-	later   []wire.Event // for the next batch
-	index   int64        // the coordinator's last event
-	follow  context.CancelFunc
+	sess      map[string]*sess            // emptied by final answers and ends
+	servers   []*server                   // in the order of the list; emptied by settleServer
+	numbers   map[choice.ServerID]*server // the same
+	past      map[string]*server          // SETUPs given up, whose answer may still come; emptied by their alarms
+	early     map[string]bool             // releases of sessions not known (yet); emptied by their alarms
+	owed      []owed                      // releases without a viewer's connection; emptied by time
+	viewers   []*viewer
+	accepting chan struct{} // closed once no further connection is accepted
+	open      int           // requests without their answers
+	alarms    alarms
+	later     []wire.Event // for the next batch
+	index     int64        // the coordinator's last event
+	follow    context.CancelFunc
 
 	tests, wrongs int
 	looked        float64
@@ -157,26 +161,14 @@
 			return lifecycle.Address, err
 		}
 	}
-	defer func() {
-		l.Close()
-		for _, v := range n.viewers {
-			v.end()
-		}
-		late := time.After(flush)
-		for _, v := range n.viewers {
-			select {
-			case <-v.ended:
-			case <-late:
-				late = nil
-			}
-			v.nc.Close()
-		}
-	}()
+	defer l.Close()
+	n.guard = invariant.New(n.budget(), n.violated)
 	n.life = lifecycle.New(n.now, share.Drain(n.start.SetupTimeout), orders{n})
 	n.settle()
 	n.followFeed(o.Start.Coordinator)
 	n.ready = true
 	n.life.Up()
+	n.accepting = make(chan struct{})
 	n.wg.Add(1)
 	go n.accept(l)
 	n.log.Info("serving", str("name", o.Start.Name), str("listen", o.Start.Listen), num("servers", len(n.servers)), num("groups", len(o.Start.Groups)))
@@ -190,32 +182,6 @@
 	return 0, nil
 }
 
-// finish answers what is open at the exit: what was taken and ends without its answer is lost. The module words it.
-func (n *Node) finish() {
-	n.tick()
-	n.front.At(n.now)
-	n.front.Stop()
-	for more := true; more; { // what readers have handed over by now is answered as well
-		select {
-		case e := <-n.events:
-			e.do()
-		default:
-			more = false
-		}
-	}
-	var open []*sess
-	for _, s := range n.sess {
-		if s.state == out {
-			open = append(open, s)
-		}
-	}
-	slices.SortFunc(open, func(a, b *sess) int { return strings.Compare(a.id, b.id) })
-	for _, s := range open {
-		n.timedOut(s)
-	}
-	n.settle()
-}
-
 // tick sets the clock: that of the wall at the start, monotonic from then on.
 func (n *Node) tick() {
 	n.now = float64(n.began.UnixNano())/1e9 + time.Since(n.began).Seconds()
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -212,14 +212,19 @@
 	for _, o := range owed {
 		l.sendKept(n.now, o.b)
 	}
-	for _, s := range l.open {
+	for _, s := range slices.Clone(l.open) {
 		n.sendSetup(s, l)
 	}
 }
 
 // sendSetup writes a SETUP to a connection that is open.
 func (n *Node) sendSetup(s *sess, l *link) {
-	s.from, s.to = l.send(setup(s, s.until-n.now))
+	wait := s.until - n.now
+	if !n.guard.Send(n.now, s.id, wait, s.server.state == choice.Ready) {
+		n.setupOver(s, choice.Unsent, noReport)
+		return
+	}
+	s.from, s.to = l.send(setup(s, wait))
 	l.used = n.now
 }
 
@@ -244,6 +249,7 @@
 			continue
 		}
 		n.unlink(s)
+		n.guard.Unsent(s.id)
 		if s.resent++; s.resent > share.Resent {
 			n.setupOver(s, choice.Unsent, noReport)
 			continue
--- a/internal/node/sessions.go
+++ b/internal/node/sessions.go
@@ -8,6 +8,7 @@
 
 	"rainhaven/choice"
 	"rainhaven/choice/share"
+	"rainhaven/internal/invariant"
 	"rainhaven/internal/rtsp"
 	"rainhaven/internal/wire"
 )
@@ -16,6 +17,7 @@
 func (n *Node) ask(v *viewer, a ask) {
 	s := &sess{ask: a, viewer: v, rung: n.start.Figures.Groups[a.group].Floor, from: -1}
 	s.request.SetupTimeout = n.now + max(a.patience-share.Margin, 0)
+	n.guard.Read(n.now, s.id, n.start.Figures.Groups[a.group].Paid, n.now+a.patience)
 	n.sess[s.id] = s
 	v.held = append(v.held, s)
 	v.Open++
@@ -77,6 +79,10 @@
 // setupOver ends a SETUP that is out.
 func (n *Node) setupOver(s *sess, o choice.Outcome, r choice.Report) {
 	sv := s.server
+	if s.release != nil { // it has stood, and its end was heard before its answer
+		o = choice.Departed
+	}
+	n.guard.Over(s.id, unrun(o))
 	n.log.Debug("setup over", str("sess", s.id), str("server", sv.id), num("outcome", int(o)))
 	n.counts[fmt.Sprintf("outcome %d", o)]++
 	n.unlink(s)
@@ -142,6 +148,7 @@
 	}
 	n.unlink(s)
 	n.counts["given up"]++
+	n.guard.Cancelled(s.id)
 	n.log.Debug("given up", str("sess", s.id), zap.Bool("out", was == out))
 	n.forget(s)
 	n.feed(wire.Event{Kind: wire.Left, Request: choice.Request{ID: choice.SessID(s.id)}})
@@ -156,6 +163,7 @@
 	n.cancel(s.waiting)
 	s.waiting = nil
 	n.unlink(s)
+	n.guard.Dropped(s.id)
 	if v := s.viewer; v != nil {
 		v.held = slices.DeleteFunc(v.held, func(o *sess) bool { return o == s })
 		if s.state == standing {
@@ -186,9 +194,14 @@
 	v.Open--
 	v.Standing++
 	v.proven = true
-	_, s.answered = v.sendNow(served(s.id, m.Body))
+	if n.guard.Answer(n.now, s.id, invariant.Served) {
+		_, s.answered = v.sendNow(served(s.id, m.Body))
+	}
 	s.body = nil
-	n.log.Debug("served", str("sess", s.id), str("server", s.server.id), str("to", v.nc.RemoteAddr().String()), zap.Int64("ends", s.answered))
+	n.log.Debug("served", str("sess", s.id), str("server", s.server.id), str("to", v.peer()), zap.Int64("ends", s.answered))
+	if r := s.release; r != nil {
+		n.ended(s, r.outcome(), r.cause, r.report)
+	}
 }
 
 // ended ends a session that stood, and releases its viewer.
@@ -241,6 +254,35 @@
 	n.ended(s, choice.Cancelled, causeMoved, noReport)
 }
 
+// release is a server's release of a session that stood.
+type release struct {
+	cause  int
+	report choice.Report
+}
+
+func (r *release) outcome() choice.Outcome {
+	if r.cause == causeOver {
+		return choice.Served
+	}
+	return choice.Cancelled
+}
+
+// overtaken takes a release that came before the answer which it follows: the session has stood, so nothing is sent
+// elsewhere. Its answer is on its way; it is waited for until the deadline, goes to the client, and the release after it.
+func (n *Node) overtaken(s *sess, m *rtsp.Message) {
+	if s.release != nil {
+		return
+	}
+	s.release = &release{cause(m), readReport(m)}
+	n.counts["released before the answer"]++
+	n.log.Debug("released before its answer", str("sess", s.id), str("server", s.server.id), num("cause", s.release.cause))
+	n.cancel(s.waiting)
+	s.waiting = n.after(max(s.request.SetupTimeout-n.now, 0), func() {
+		s.waiting = nil
+		n.setupOver(s, choice.Departed, s.release.report)
+	})
+}
+
 // released takes a server's release.
 func (n *Node) released(sv *server, s *sess, id string, m *rtsp.Message) {
 	switch {
@@ -249,6 +291,8 @@
 			n.early[id] = true
 			n.after(keepPast, func() { delete(n.early, id) })
 		}
+	case s.state == out && (cause(m) == causeOver || cause(m) == causeMoved):
+		n.overtaken(s, m)
 	case s.state == out:
 		n.setupOver(s, choice.Reset, readReport(m))
 	case s.state == standing:
--- a/internal/node/standin_test.go
+++ b/internal/node/standin_test.go
@@ -275,13 +275,9 @@
 		t.Fatal(err)
 	}
 	f.addr = l.Addr().String()
-	log := zap.NewNop()
+	log := zap.New(zapcore.RegisterHooks(zapcore.NewCore(zapcore.NewJSONEncoder(zapcore.EncoderConfig{}), zapcore.AddSync(io.Discard), zap.InfoLevel), f.hear))
 	if os.Getenv("NODE_TEST_LOG") != "" {
-		log, _ = zap.NewDevelopment()
-	}
-	if f.logged != nil {
-		log = zap.New(zapcore.RegisterHooks(zapcore.NewCore(zapcore.NewJSONEncoder(zapcore.EncoderConfig{}), zapcore.AddSync(io.Discard), zap.InfoLevel),
-			func(e zapcore.Entry) error { f.logged(e.Message); return nil }))
+		log, _ = zap.NewDevelopment(zap.Hooks(f.hear))
 	}
 	got := make(chan *Node, 1)
 	go func() {
@@ -297,6 +293,17 @@
 	return f
 }
 
+// hear takes each line of the node's log: an error there, a violated invariant among them, is one of the test.
+func (f *farm) hear(e zapcore.Entry) error {
+	if e.Level >= zapcore.ErrorLevel {
+		f.t.Errorf("the node logs: %s", e.Message)
+	}
+	if f.logged != nil {
+		f.logged(e.Message)
+	}
+	return nil
+}
+
 func (f *farm) config(sockets, index int, events string) string {
 	return fmt.Sprintf(`{"coordinator":%q,"known":{"index":%d,"updates":[%s]},"limits":{"cores":1.0,"memory_mb":64,"sockets":%d},"listen":"127.0.0.1:0","name":"n0","seed":"6444882f5c620abb","settings":%s}`,
 		f.feed.Addr().String(), index, events, sockets, fmt.Sprintf(terms, false))
--- a/internal/node/viewer.go
+++ b/internal/node/viewer.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"rainhaven/choice/share"
+	"rainhaven/internal/invariant"
 	"rainhaven/internal/rtsp"
 )
 
@@ -18,14 +19,19 @@
 type viewer struct {
 	*conn
 	share.Holding
-	proven bool // a session was served on it
-	closed bool
-	held   []*sess // asked or standing with this connection; emptied as they end
+	readControl
+	proven   bool // a session was served on it
+	closed   bool
+	stopping closeReason // why it is to be closed once its reader has stopped; empty where it is not
+	stopped  bool        // its reader has handed over all that it read
+	why      error       // why its reader ended
+	held     []*sess     // asked or standing with this connection; emptied as they end
 }
 
 // accept takes viewers' connections until the listener is closed.
 func (n *Node) accept(l net.Listener) {
 	defer n.wg.Done()
+	defer close(n.accepting)
 	for {
 		nc, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -36,7 +42,7 @@
 			time.Sleep(5 * time.Millisecond)
 			continue
 		}
-		v := &viewer{conn: newConn(nc, n.log)}
+		v := &viewer{conn: newConn(nc, n.log), readControl: newReadControl(nc)}
 		if !n.tell(event{do: func() { n.opened(v) }}) {
 			v.close()
 			return
@@ -46,50 +52,56 @@
 	}
 }
 
-// readViewer hands the loop what a viewer sends, until its connection ends.
+// readViewer hands the loop what a viewer sends, until its connection ends or the loop has it stopped.
 func (n *Node) readViewer(v *viewer) {
 	defer n.wg.Done()
 	defer context.AfterFunc(n.ctx, func() { v.nc.Close() })()
 	in := rtsp.NewConn(v.nc, bounds)
-	v.nc.SetReadDeadline(time.Now().Add(time.Duration(share.Begin * float64(time.Second))))
-	var why error
-	for first := true; ; first = false {
+	v.firstMessage()
+	for {
 		err := in.Await()
-		if err == nil && !first {
-			v.nc.SetReadDeadline(time.Now().Add(time.Duration(share.Begin * float64(time.Second))))
-		}
-		var m *rtsp.Message
 		if err == nil {
-			m, _, err = in.Next()
-		}
-		if err == nil && m != nil {
-			if !v.isEnding() {
-				v.nc.SetReadDeadline(time.Time{})
-			}
-			if !n.tell(event{do: func() { n.heardViewer(v, m) }}) {
-				break
+			v.messageBegan()
+			var m *rtsp.Message
+			if m, _, err = in.Next(); err == nil && m != nil {
+				v.messageEnded()
+				if !n.tell(event{do: func() { n.heardViewer(v, m) }}) {
+					break
+				}
+				continue
 			}
-			continue
 		}
-		why = err
-		var bad *rtsp.MalformedError
-		late := errors.Is(err, os.ErrDeadlineExceeded) && !v.isEnding()
-		if late || errors.As(err, &bad) || err == nil {
-			if !n.tell(event{do: func() {
-				if late {
-					n.overdue(v)
-				} else {
-					n.malformed(v, bad)
-				}
-			}}) {
+		if v.wasStopped(err) {
+			if !n.tell(event{do: func() { n.readerStopped(v, in.Buffered() > 0) }}) || !v.mayGoOn(n.ctx) {
 				break
 			}
-			v.discard()
+			continue
 		}
+		n.readFailed(v, err)
 		break
 	}
 	v.close()
-	n.tell(event{do: func() { n.closedViewer(v, why) }})
+	n.tell(event{do: func() { n.closedViewer(v) }})
+}
+
+// readFailed has the loop end a connection from which nothing more can be read.
+func (n *Node) readFailed(v *viewer, err error) {
+	v.why = err
+	var bad *rtsp.MalformedError
+	late := errors.Is(err, os.ErrDeadlineExceeded) && !v.isEnding()
+	if !late && !errors.As(err, &bad) && err != nil {
+		return
+	}
+	heard := n.tell(event{do: func() {
+		if late {
+			n.overdue(v)
+		} else {
+			n.malformed(v, bad)
+		}
+	}})
+	if heard {
+		v.discard()
+	}
 }
 
 func (n *Node) opened(v *viewer) {
@@ -104,7 +116,7 @@
 	most := share.Viewers(n.start.Sockets, n.links())
 	open, ending := 0, 0
 	for _, v := range n.viewers {
-		if v.isEnding() {
+		if v.isEnding() || v.stopping != "" {
 			ending++
 		} else {
 			open++
@@ -122,7 +134,7 @@
 	for ; open > most; open-- {
 		var first *viewer
 		for _, v := range n.viewers {
-			if v.isEnding() || v.Rank(n.now) < 0 {
+			if v.isEnding() || v.stopping != "" || v.Rank(n.now) < 0 {
 				continue
 			}
 			if first == nil || v.Rank(n.now) < first.Rank(n.now) || v.Rank(n.now) == first.Rank(n.now) && v.Used < first.Used {
@@ -132,17 +144,15 @@
 		if first == nil {
 			return
 		}
-		n.log.Debug("a viewer's connection gives way", str("from", first.nc.RemoteAddr().String()), num("rank", first.Rank(n.now)), zap.Float64("age", n.now-first.Since))
-		first.cut()
+		n.closeUnused(first, givesWay)
 	}
 }
 
 // sweep closes viewers' connections that have had no session for long.
 func (n *Node) sweep() {
 	for _, v := range n.viewers {
-		if v.Idle(n.now) && !v.isEnding() {
-			n.log.Debug("an unused connection is closed", str("from", v.nc.RemoteAddr().String()))
-			v.cut()
+		if v.Idle(n.now) {
+			n.closeUnused(v, unused)
 		}
 	}
 }
@@ -151,7 +161,8 @@
 // it is just closed.
 func (n *Node) overdue(v *viewer) {
 	if v.Open == 0 {
-		v.cut()
+		v.stopped = true // what its reader has is no whole message
+		n.closeClient(v, overdue)
 		return
 	}
 	n.malformed(v, &rtsp.MalformedError{Status: rtsp.RequestTimeout})
@@ -172,7 +183,8 @@
 	}
 	n.abandon(v, true)
 	v.send(response(r, status))
-	v.end()
+	v.stopped = true
+	n.closeClient(v, unreadable)
 }
 
 // abandon ends the requests of a connection that are without their answers; they get one only if it is wanted.
@@ -185,18 +197,18 @@
 			continue
 		}
 		if answer {
-			v.send(refusal(s.id, rtsp.InternalError, 0))
+			n.refuse(v, s.id, rtsp.InternalError, 0)
 		}
 		n.giveUp(s)
 	}
 }
 
-func (n *Node) closedViewer(v *viewer, why error) {
+func (n *Node) closedViewer(v *viewer) {
 	if v.closed {
 		return
 	}
-	v.closed = true
-	n.log.Debug("a viewer's connection ended", str("from", v.nc.RemoteAddr().String()), str("why", errText(why)), zap.Bool("spoke", v.Spoke), zap.Float64("age", n.now-v.Since), num("open", v.Open), num("standing", v.Standing))
+	v.closed, v.stopped = true, true
+	n.log.Debug("a viewer's connection ended", str("from", v.peer()), str("why", errText(v.why)), str("closed", string(v.stopping)), zap.Bool("spoke", v.Spoke), zap.Float64("age", n.now-v.Since), num("open", v.Open), num("standing", v.Standing))
 	n.abandon(v, false)
 	n.viewers = slices.DeleteFunc(n.viewers, func(o *viewer) bool { return o == v })
 	for _, b := range v.unsure(n.now, v.written) {
@@ -214,7 +226,7 @@
 func (n *Node) heardViewer(v *viewer, m *rtsp.Message) {
 	n.traceReceived(v.conn, m)
 	if v.closed || v.isEnding() {
-		n.log.Debug("said on a connection that is being closed", str("from", v.nc.RemoteAddr().String()), str("method", m.Method), str("sess", m.Session()))
+		n.log.Debug("said on a connection that has ended", str("from", v.peer()), str("method", m.Method), str("sess", m.Session()))
 		return
 	}
 	v.Spoke, v.Used = true, n.now
@@ -241,7 +253,7 @@
 	n.wrongs++
 	v.send(response(m, status))
 	if v.Wrong++; v.Senseless() {
-		v.end()
+		n.closeUnused(v, senseless)
 	}
 }
 
@@ -259,14 +271,15 @@
 	}
 	if old := n.sess[a.id]; old != nil {
 		// Two requests under one id: answers are matched by it, so on one connection both get the one.
-		n.refuseWrong(v, m, rtsp.BadRequest)
 		if old.viewer == v && old.state != standing {
+			n.guard.Answer(n.now, old.id, invariant.Failed)
 			n.giveUp(old)
 		}
+		n.refuseWrong(v, m, rtsp.BadRequest)
 		return
 	}
 	if v.TooMany(n.open) {
-		n.log.Debug("past the bound on open requests", str("from", v.nc.RemoteAddr().String()), num("open", v.Open), num("all", n.open))
+		n.log.Debug("past the bound on open requests", str("from", v.peer()), num("open", v.Open), num("all", n.open))
 		n.counts["past the bound"]++
 		v.send(response(m, rtsp.ServiceUnavailable))
 		return
