--- a/cmd/rainhaven/main.go
+++ b/cmd/rainhaven/main.go
@@ -77,7 +77,7 @@
 		SilenceErrors: true, SilenceUsage: true,
 		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
 	}
-	root.AddCommand(frontCommand(), nodeCommand(), boxCommand(), playCommand(), dayCommand(), checkCommand(), migrateCommand(), tryCommand(), measureCommand(), stormCommand(), fleetCommand(), ctlCommand(), versionCommand())
+	root.AddCommand(frontCommand(), nodeCommand(), boxCommand(), playCommand(), dayCommand(), checkCommand(), migrateCommand(), tryCommand(), measureCommand(), stormCommand(), soakCommand(), fleetCommand(), ctlCommand(), versionCommand())
 	return root
 }
 
--- /dev/null
+++ b/internal/lab/soak/client.go
@@ -0,0 +1,303 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"rainhaven/internal/rtsp"
+)
+
+const (
+	// perNode is how many connections of usual clients a node has.
+	perNode = 3
+	// clientIdle is how long a client keeps a connection without sessions.
+	clientIdle = 4 * time.Second
+	// crossing is how long before a close a request may have been sent that is then sent once more.
+	crossing = 50 * time.Millisecond
+	// Shares of requests whose client cancels early, closes its connection early, or sends in pieces.
+	cancels, closes, pieces = 0.06, 0.03, 0.15
+	// earliest is the least time after which a client cancels, and span how much longer it may be.
+	earliestCancel, cancelSpan = 5 * time.Millisecond, 400 * time.Millisecond
+	// titles is how many titles a class has.
+	titles = 8
+	// classTitles is how many titles of a class with seats each node is asked for, so that the seats bind.
+	seatedTitles = 2
+)
+
+// clients are the clients of one node.
+type clients struct {
+	node  *node
+	log   *log
+	rand  *rand.Rand
+	next  *atomic.Uint64
+	mu    sync.Mutex
+	conns [perNode]*clientConn
+}
+
+// clientConn is one connection of a client's.
+type clientConn struct {
+	net.Conn
+	log   *log
+	node  int
+	write sync.Mutex
+
+	mu       sync.Mutex
+	open     map[string]*request // without their answers
+	sessions int
+	used     time.Time
+	closed   bool
+}
+
+// request is one request, as its client has it.
+type request struct {
+	id     string
+	class  int
+	text   []byte
+	sent   time.Duration
+	resent bool
+	over   bool // cancelled
+}
+
+// dial opens a connection; nil where the node can't be reached.
+func (c *clients) dial() *clientConn {
+	n, err := net.DialTimeout("tcp", c.node.listen, 200*time.Millisecond)
+	if err != nil {
+		return nil
+	}
+	conn := &clientConn{Conn: n, log: c.log, node: c.node.index, open: map[string]*request{}, used: time.Now()}
+	go c.read(conn)
+	return conn
+}
+
+// conn is one of the usual connections, opened where it is not up; fresh tells that it may be.
+func (c *clients) conn(slot int, fresh bool) *clientConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if have := c.conns[slot]; have != nil && have.usable() {
+		return have
+	}
+	c.conns[slot] = nil
+	if fresh {
+		c.conns[slot] = c.dial()
+	}
+	return c.conns[slot]
+}
+
+// usable tells whether a connection is up; one unused for long is closed.
+func (c *clientConn) usable() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return false
+	}
+	if len(c.open) == 0 && c.sessions <= 0 && time.Since(c.used) > clientIdle {
+		c.closed = true
+		c.Close()
+		return false
+	}
+	return true
+}
+
+// ask sends one request as chance has it.
+func (c *clients) ask() {
+	class := c.rand.IntN(len(classes))
+	title := c.rand.IntN(titles)
+	if classes[class].seats > 0 {
+		title = c.rand.IntN(seatedTitles)
+	}
+	fate := c.rand.Float64()
+	fresh := c.node.takesNew()
+	var on *clientConn
+	if fate < closes {
+		if !fresh {
+			return
+		}
+		on = c.dial() // one of its own, which it closes
+	} else {
+		on = c.conn(c.rand.IntN(perNode), fresh)
+	}
+	if on == nil {
+		return
+	}
+	id := requestID(c.node.index, c.next.Add(1))
+	home := c.rand.IntN(cells)
+	body := "9d41c07a5be2f318\r\nc=IN IP4 127.0.0.1\r\n"
+	r := &request{id: id, class: class, text: fmt.Appendf(nil,
+		"SETUP rtsp://media/t%d-%d RTSP/1.0\r\nCSeq: 1\r\nSession: %s\r\nSubject: %s\r\nX-Patience: %d\r\nX-Facts: home:%d;copies:%d;top:%d\r\nContent-Length: %d\r\n\r\n%s",
+		class, title, id, classes[class].name, classes[class].deadline.Milliseconds(), home, copies, rungs-1, len(body), body)}
+	split := 0
+	if c.rand.Float64() < pieces {
+		split = 1 + c.rand.IntN(len(r.text)-1)
+	}
+	after := earliestCancel + time.Duration(c.rand.Int64N(int64(cancelSpan)))
+	if !on.send(r, split, fmt.Sprintf("t%d-%d", class, title)) {
+		return
+	}
+	switch {
+	case fate < closes:
+		time.AfterFunc(after, func() { on.leave() })
+	case fate < closes+cancels:
+		time.AfterFunc(after, func() { on.cancel(r) })
+	}
+}
+
+// send writes a request; false where its connection is closed already.
+func (c *clientConn) send(r *request, split int, title string) bool {
+	c.write.Lock()
+	defer c.write.Unlock()
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return false
+	}
+	c.open[r.id], c.used = r, time.Now()
+	c.mu.Unlock()
+	c.SetWriteDeadline(time.Now().Add(time.Second))
+	text := r.text
+	if split > 0 {
+		if _, err := c.Write(text[:split]); err != nil {
+			c.drop(r)
+			return false
+		}
+		time.Sleep(2 * time.Millisecond)
+		text = text[split:]
+	}
+	// Its last byte may be read before the write returns, so it counts from before.
+	at := c.log.now()
+	if _, err := c.Write(text); err != nil {
+		c.drop(r)
+		return false
+	}
+	c.mu.Lock()
+	r.sent = at
+	c.mu.Unlock()
+	c.log.add(record{at: at, kind: requestSent, request: r.id, node: c.node, class: r.class, wait: classes[r.class].deadline, title: title, detail: title + " from " + c.LocalAddr().String()})
+	return true
+}
+
+func (c *clientConn) drop(r *request) {
+	c.mu.Lock()
+	delete(c.open, r.id)
+	c.mu.Unlock()
+}
+
+// cancel gives a request up, unless it has its answer.
+func (c *clientConn) cancel(r *request) {
+	c.mu.Lock()
+	open := c.open[r.id] == r && !c.closed
+	if open {
+		r.over = true
+		delete(c.open, r.id)
+	}
+	c.mu.Unlock()
+	if !open {
+		return
+	}
+	c.write.Lock()
+	defer c.write.Unlock()
+	c.SetWriteDeadline(time.Now().Add(time.Second))
+	fmt.Fprintf(c.Conn, "TEARDOWN rtsp://media/t RTSP/1.0\r\nCSeq: 2\r\nSession: %s\r\nContent-Length: 0\r\n\r\n", r.id)
+	c.log.add(record{kind: requestCanceled, request: r.id, node: c.node, detail: "TEARDOWN"})
+}
+
+// leave closes a connection, with what is open on it.
+func (c *clientConn) leave() {
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return
+	}
+	c.closed = true
+	open := c.open
+	c.open = map[string]*request{}
+	c.mu.Unlock()
+	c.Close()
+	for id := range open {
+		c.log.add(record{kind: requestCanceled, request: id, node: c.node, detail: "closed"})
+	}
+}
+
+// read takes what a node sends on a connection until that ends.
+func (c *clients) read(on *clientConn) {
+	in := rtsp.NewConn(on.Conn, rtsp.Bounds{})
+	for {
+		m, _, err := in.Next()
+		if err != nil {
+			c.ended(on, err)
+			return
+		}
+		if m != nil {
+			on.take(m)
+		}
+	}
+}
+
+func (c *clientConn) take(m *rtsp.Message) {
+	id := m.Session()
+	switch {
+	case m.Method == rtsp.TearDown:
+		c.log.add(record{kind: releaseRead, request: id, node: c.node})
+		c.mu.Lock()
+		c.sessions--
+		c.used = time.Now()
+		c.mu.Unlock()
+	case m.IsRequest() || m.Status < rtsp.OK || m.CSeq() != 1:
+	default:
+		c.log.add(record{kind: answerRead, request: id, node: c.node, status: m.Status, detail: string(m.Body)})
+		c.mu.Lock()
+		delete(c.open, id)
+		c.used = time.Now()
+		if m.Status == rtsp.OK {
+			c.sessions++
+		}
+		c.mu.Unlock()
+	}
+}
+
+// ended takes the end of a connection that its client did not close: what crosses such a close is sent once more.
+func (c *clients) ended(on *clientConn, err error) {
+	now := c.log.now()
+	on.mu.Lock()
+	mine := on.closed
+	on.closed = true
+	open := on.open
+	on.open = map[string]*request{}
+	on.mu.Unlock()
+	on.Close()
+	if mine {
+		return
+	}
+	for id, r := range open {
+		c.log.add(record{at: now, kind: requestCut, request: id, node: on.node, detail: err.Error()})
+		if r.resent || now-r.sent > crossing || !c.node.takesNew() {
+			continue
+		}
+		r.resent = true
+		if again := c.dial(); again != nil {
+			again.send(r, 0, "")
+		}
+	}
+}
+
+// rude opens connections that are of no use: silent ones, half a request, nonsense. All are closed by the node or in time.
+func (c *clients) rude(many int, long time.Duration) {
+	for range many {
+		n, err := net.DialTimeout("tcp", c.node.listen, 200*time.Millisecond)
+		if err != nil {
+			return
+		}
+		switch c.rand.IntN(4) {
+		case 0:
+			fmt.Fprint(n, "SETUP rtsp://media/t RTSP/1.0\r\nCSeq: 1\r\nSession: ")
+		case 1:
+			fmt.Fprint(n, "\x00\x01nonsense\r\n\r\n")
+		case 2:
+			fmt.Fprint(n, "OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n")
+		}
+		time.AfterFunc(long, func() { n.Close() })
+	}
+}
--- /dev/null
+++ b/internal/lab/soak/plan.go
@@ -0,0 +1,103 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// fault is one fault of a plan: when it begins, how long it lasts, and what it does.
+type fault struct {
+	at, long time.Duration
+	name     string
+	do       func(s *soak, rand *rand.Rand, long time.Duration)
+}
+
+// faultKinds are all kinds of faults, with the longest time that each may last. Several of any kinds overlap.
+var faultKinds = []struct {
+	name    string
+	longest time.Duration
+	do      func(s *soak, rand *rand.Rand, long time.Duration)
+}{
+	{"node killed", time.Second, func(s *soak, rand *rand.Rand, long time.Duration) {
+		s.restart(s.nodes[rand.IntN(len(s.nodes))], true, long, s.offset(rand))
+	}},
+	{"several nodes killed", time.Second, func(s *soak, rand *rand.Rand, long time.Duration) {
+		for _, k := range rand.Perm(len(s.nodes))[:len(s.nodes)/5] {
+			s.restart(s.nodes[k], true, long, s.offset(rand))
+		}
+	}},
+	{"node restarted", 500 * time.Millisecond, func(s *soak, rand *rand.Rand, long time.Duration) {
+		s.restart(s.nodes[rand.IntN(len(s.nodes))], false, long, s.offset(rand))
+	}},
+	{"several nodes restarted", 500 * time.Millisecond, func(s *soak, rand *rand.Rand, long time.Duration) {
+		for _, k := range rand.Perm(len(s.nodes))[:len(s.nodes)/5] {
+			s.restart(s.nodes[k], false, long, s.offset(rand))
+		}
+	}},
+	{"configuration read again", 0, func(s *soak, rand *rand.Rand, _ time.Duration) {
+		for range 1 + rand.IntN(4) {
+			s.nodes[rand.IntN(len(s.nodes))].reload(rand.IntN(2) == 0)
+		}
+	}},
+	{"discovery down", 3 * time.Second, func(s *soak, _ *rand.Rand, long time.Duration) { s.coord.fail(long) }},
+	{"discovery silent", 3 * time.Second, func(s *soak, _ *rand.Rand, long time.Duration) { s.coord.mute(long) }},
+	{"server replaced", time.Second, func(s *soak, rand *rand.Rand, long time.Duration) { s.replace(rand, long, true) }},
+	{"server died", time.Second, func(s *soak, rand *rand.Rand, long time.Duration) { s.replace(rand, long, false) }},
+	{"server hangs", 3 * time.Second, func(s *soak, rand *rand.Rand, long time.Duration) {
+		until := s.log.now() + long
+		s.server(rand).behave(func(b *behavior) { b.hangs = until })
+	}},
+	{"server slow", 4 * time.Second, during(func(b *behavior) { b.slow = 900 * time.Millisecond })},
+	{"server full", 3 * time.Second, during(func(b *behavior) { b.full = 0.7 })},
+	{"server failing", 3 * time.Second, during(func(b *behavior) { b.failing, b.moot, b.reset = 0.2, 0.1, 0.2 })},
+	{"answers lost", 3 * time.Second, during(func(b *behavior) { b.lost = 0.3 })},
+	{"answers spoilt or doubled", 3 * time.Second, during(func(b *behavior) { b.spoilt, b.double = 0.1, 0.3 })},
+	{"releases before answers", 4 * time.Second, during(func(b *behavior) { b.early = 0.4 })},
+	{"connections reset under requests", 3 * time.Second, during(func(b *behavior) { b.cut = 0.2 })},
+	{"writes in pieces", 4 * time.Second, during(func(b *behavior) { b.pieces = 0.8 })},
+	{"connections of a server closed", 0, func(s *soak, rand *rand.Rand, _ time.Duration) { s.server(rand).cutConnections(true) }},
+	{"connections of a server reset", 0, func(s *soak, rand *rand.Rand, _ time.Duration) { s.server(rand).cutConnections(false) }},
+	{"rude clients", 3 * time.Second, func(s *soak, rand *rand.Rand, long time.Duration) {
+		s.clients[rand.IntN(len(s.clients))].rude(20+rand.IntN(150), long)
+	}},
+	{"crowd", 2 * time.Second, func(s *soak, rand *rand.Rand, long time.Duration) { s.crowd(rand.IntN(len(s.nodes)), long) }},
+}
+
+// during changes how a few servers behave, and ends it after its time.
+func during(change func(*behavior)) func(*soak, *rand.Rand, time.Duration) {
+	return func(s *soak, rand *rand.Rand, long time.Duration) {
+		for range 1 + rand.IntN(3) {
+			sv := s.server(rand)
+			sv.behave(change)
+			time.AfterFunc(long, func() {
+				sv.behave(func(b *behavior) { *b = behavior{hangs: b.hangs} })
+			})
+		}
+	}
+}
+
+const (
+	// faultEvery is the mean time between two faults.
+	faultEvery = 700 * time.Millisecond
+	// quietStart and quietEnd are without new faults: all nodes come up, and the last requests come to their ends.
+	quietStart, quietEnd = 2 * time.Second, 4 * time.Second
+)
+
+// plan draws the faults of a soak of so long.
+func plan(seed uint64, long time.Duration) (list []fault) {
+	r := rand.New(rand.NewPCG(seed, 0xfa017))
+	for at := quietStart; at < long-quietEnd; at += time.Duration(r.ExpFloat64() * float64(faultEvery)) {
+		k := faultKinds[r.IntN(len(faultKinds))]
+		f := fault{at: at, name: k.name, do: k.do}
+		if k.longest > 0 {
+			f.long = k.longest/4 + time.Duration(r.Int64N(int64(k.longest*3/4)))
+		}
+		list = append(list, f)
+	}
+	return list
+}
+
+func (f fault) String() string {
+	return fmt.Sprintf("%s for %v", f.name, f.long.Round(time.Millisecond))
+}
--- /dev/null
+++ b/internal/lab/soak/record.go
@@ -0,0 +1,106 @@
+// Package soak runs many real front node processes on loopback among stand-in clients, servers and a coordinator, with
+// overlapping faults drawn by a seed, and judges the platform's rules from the traffic alone.
+package soak
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"time"
+)
+
+// kind is what a record tells.
+type kind int
+
+const (
+	requestSent     kind = iota // a client has written a request's last byte
+	requestCanceled             // its client has cancelled it, or closed its connection
+	requestCut                  // the node closed the connection with the request open
+	answerRead                  // a client has read a final answer
+	releaseRead                 // a client has read a release
+	attemptRead                 // a server has read an attempt whole
+	attemptAnswered             // a server writes its answer to an attempt
+	attemptGivenUp              // a server has read that an attempt is given up, or its connection ended
+	sessionEnded                // a server ends a session that stood
+	rungRead                    // a server has read a new rung
+	entryTold                   // the coordinator has an entry of the list
+	nodeStarted                 // a node's process was started
+	nodeReady                   // it passed its first test
+	nodeTerminated              // it was sent SIGTERM
+	nodeExited                  // its process has ended
+	nodeKilled                  // it was sent SIGKILL
+	faultBegan                  // a fault of the plan begins
+)
+
+var kindNames = [...]string{"request sent", "request cancelled", "request cut", "answer read", "release read", "attempt read", "attempt answered",
+	"attempt given up", "session ended", "rung read", "entry told", "node started", "node ready", "node terminated", "node exited", "node killed", "fault"}
+
+// record is one thing seen. Which fields say something depends on its kind.
+type record struct {
+	at      time.Duration // since the soak began
+	kind    kind
+	request string
+	node    int
+	server  string
+	class   int
+	title   string
+	status  int           // of an answer; of an exit its code
+	rung    int           // of an attempt
+	wait    time.Duration // of a request or an attempt: its deadline; of an entry: when it counts as told
+	detail  string
+}
+
+func (r record) String() string {
+	s := fmt.Sprintf("%9.3f  %-18s n%d", r.at.Seconds(), kindNames[r.kind], r.node)
+	for _, f := range []struct {
+		name  string
+		value any
+		say   bool
+	}{{"request", r.request, r.request != ""}, {"server", r.server, r.server != ""}, {"status", r.status, r.status != 0},
+		{"rung", r.rung, r.kind == attemptRead || r.kind == rungRead}, {"wait", r.wait, r.wait != 0}, {"", r.detail, r.detail != ""}} {
+		if f.say {
+			s += fmt.Sprintf("  %s %v", f.name, f.value)
+		}
+	}
+	return s
+}
+
+// log is all that was seen, by whoever sees it first. It is safe for concurrent use.
+type log struct {
+	began time.Time
+	mu    sync.Mutex
+	list  []record
+}
+
+func (l *log) now() time.Duration { return time.Since(l.began) }
+
+// add stamps a record and keeps it.
+func (l *log) add(r record) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r.at == 0 {
+		r.at = l.now()
+	}
+	l.list = append(l.list, r)
+	return r.at
+}
+
+// sorted gives all records in their order.
+func (l *log) sorted() []record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := slices.Clone(l.list)
+	slices.SortStableFunc(list, func(a, b record) int { return cmp.Compare(a.at, b.at) })
+	return list
+}
+
+// trace writes all that was seen of one request.
+func trace(w io.Writer, list []record, request string) {
+	for _, r := range list {
+		if r.request == request {
+			fmt.Fprintln(w, "   ", r)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/soak/soak.go
@@ -0,0 +1,253 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	frontnode "rainhaven/internal/node"
+)
+
+// Options say what is played.
+type Options struct {
+	Program       string // the program whose `node` is run
+	Folder        string // for configurations and the nodes' logs; it must exist
+	Nodes         int
+	Servers       int
+	Seed          uint64
+	Long          time.Duration
+	Rate          float64 // requests a second at one node, in the mean
+	Sabotage      frontnode.Sabotage
+	Clocks        bool // nodes start by wall clocks that are off
+	NetworkFaults bool // the nodes' own network fails as the system may
+	Log           string
+	Tell          func(at time.Duration, what string) // hears of each fault
+}
+
+// Usual are the options of a soak where nothing else is asked for.
+func Usual() Options {
+	return Options{Nodes: 30, Servers: 12, Seed: 1, Long: time.Minute, Rate: 8, Clocks: true, NetworkFaults: true, Log: "info"}
+}
+
+type soak struct {
+	o       Options
+	log     *log
+	coord   *coordinator
+	nodes   []*node
+	clients []*clients
+
+	mu      sync.Mutex
+	servers []*server // those that are up
+	cells   []int     // places without a server
+	made    int
+	crowded map[int]time.Duration // nodes that get several times the mean, until then
+	seed    uint64
+	pending sync.WaitGroup // restarts under way
+}
+
+const (
+	// crowdFactor is how much more a crowded node gets than the mean.
+	crowdFactor = 5.0
+	// nodeHost and serverHost are the addresses of nodes and servers on loopback; each soak has a network for its nodes.
+	nodeHost, serverHost           = "127.%d.%d.%d:20000", "127.22.%d.%d:0"
+	firstNetwork, numberOfNetworks = 32, 200
+	// drainTime is how long a draining server goes on before it is gone.
+	drainTime = 1500 * time.Millisecond
+)
+
+// Run plays a soak and judges it.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	s := &soak{o: o, log: &log{began: time.Now()}, crowded: map[int]time.Duration{}, seed: o.Seed}
+	var err error
+	if s.coord, err = newCoordinator(s.log); err != nil {
+		return nil, err
+	}
+	defer s.coord.close()
+	for k := range o.Servers {
+		if err := s.newServer(k%cells, 0); err != nil {
+			return nil, err
+		}
+	}
+	defer s.stopServers()
+	if err := s.startNodes(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.Long)
+	defer cancel()
+	var all sync.WaitGroup
+	for _, c := range s.clients {
+		all.Go(func() { s.ask(ctx, c) })
+	}
+	s.playFaults(ctx)
+	<-ctx.Done()
+	all.Wait()
+	s.pending.Wait()
+	time.Sleep(2500 * time.Millisecond) // the last requests come to their ends
+	for _, n := range s.nodes {
+		n.stop()
+	}
+	return judge(s.log.sorted(), o), nil
+}
+
+func (s *soak) startNodes() error {
+	var next atomic.Uint64
+	next.Store(1)
+	for k := range s.o.Nodes {
+		n := &node{index: k, listen: fmt.Sprintf(nodeHost, firstNetwork+os.Getpid()%numberOfNetworks, k/250, k%250+1), folder: s.o.Folder, o: s.o, log: s.log, coord: s.coord, nodes: s.o.Nodes}
+		s.nodes = append(s.nodes, n)
+		s.clients = append(s.clients, &clients{node: n, log: s.log, rand: rand.New(rand.NewPCG(s.o.Seed, uint64(k))), next: &next})
+	}
+	if s.o.Sabotage == frontnode.SabotageReady { // else nobody would be up
+		fmt.Fprintln(os.Stderr, "soak: starts are sabotaged, so nobody is served")
+	}
+	r := rand.New(rand.NewPCG(s.o.Seed, 0xc10c))
+	for _, n := range s.nodes {
+		if err := n.start(s.offset(r)); err != nil {
+			for _, n := range s.nodes {
+				n.stop()
+			}
+			return err
+		}
+	}
+	return nil
+}
+
+// offset draws how far a starting process's wall clock is off: as it is told, by seconds, or by an hour.
+func (s *soak) offset(r *rand.Rand) time.Duration {
+	steps := []time.Duration{0, 0, time.Second, 3 * time.Second, time.Hour}
+	step := steps[r.IntN(len(steps))]
+	if r.IntN(2) == 0 {
+		step = -step
+	}
+	if !s.o.Clocks {
+		return 0
+	}
+	return step
+}
+
+// ask sends a node's requests.
+func (s *soak) ask(ctx context.Context, c *clients) {
+	for {
+		rate := s.o.Rate
+		s.mu.Lock()
+		if s.crowded[c.node.index] > s.log.now() {
+			rate *= crowdFactor
+		}
+		s.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Duration(c.rand.ExpFloat64() / rate * float64(time.Second))):
+			c.ask()
+		}
+	}
+}
+
+func (s *soak) playFaults(ctx context.Context) {
+	r := rand.New(rand.NewPCG(s.o.Seed, 0xd0))
+	for _, f := range plan(s.o.Seed, s.o.Long) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(f.at - s.log.now()):
+		}
+		at := s.log.add(record{kind: faultBegan, node: -1, detail: f.String()})
+		if s.o.Tell != nil {
+			s.o.Tell(at, f.String())
+		}
+		f.do(s, r, f.long)
+	}
+}
+
+// restart ends a node's process, by SIGKILL or SIGTERM, and starts the next one after a while.
+func (s *soak) restart(n *node, kill bool, after, offset time.Duration) {
+	s.pending.Go(func() {
+		n.mu.Lock()
+		busy := !n.ready || n.ending > 0
+		n.mu.Unlock()
+		if busy { // it is being restarted
+			return
+		}
+		if kill {
+			n.kill()
+		} else {
+			n.terminate()
+		}
+		time.Sleep(after)
+		if err := n.start(offset); err != nil {
+			s.log.add(record{kind: faultBegan, node: n.index, detail: "not started: " + err.Error()})
+		}
+	})
+}
+
+// crowd has a node get several times the mean.
+func (s *soak) crowd(node int, long time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crowded[node] = s.log.now() + long
+}
+
+// server is one of the servers that are up.
+func (s *soak) server(r *rand.Rand) *server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.servers[r.IntN(len(s.servers))]
+}
+
+// newServer starts a server in a cell and has it told; started is its wall time, 0 for long ago.
+func (s *soak) newServer(cell int, started int64) error {
+	s.mu.Lock()
+	s.made++
+	k := s.made
+	s.mu.Unlock()
+	sv, err := newServer(s.log, fmt.Sprintf("s-%d", k), fmt.Sprintf(serverHost, k/250, k%250+1), cell, s.seed+uint64(k))
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.servers = append(s.servers, sv)
+	s.mu.Unlock()
+	s.coord.tell(sv.entry("up", started))
+	return nil
+}
+
+func (sv *server) entry(state string, started int64) entry {
+	return entry{ID: sv.id, Addr: sv.Addr().String(), Zone: "a", Kind: "std", Cell: sv.cell, State: state, Weight: 1, StartedAtMs: started}
+}
+
+// replace drains a server, or has it die, and starts another one in its place. At least half of them stay.
+func (s *soak) replace(r *rand.Rand, after time.Duration, drain bool) {
+	s.mu.Lock()
+	if len(s.servers) <= s.o.Servers/2 {
+		s.mu.Unlock()
+		return
+	}
+	k := r.IntN(len(s.servers))
+	sv := s.servers[k]
+	s.servers = append(s.servers[:k:k], s.servers[k+1:]...)
+	s.mu.Unlock()
+	s.pending.Go(func() {
+		if drain {
+			s.coord.tell(sv.entry("draining", 0))
+			time.Sleep(drainTime)
+		}
+		sv.kill()
+		time.Sleep(after)
+		s.coord.tell(sv.entry("removed", 0))
+		if err := s.newServer(sv.cell, time.Now().UnixMilli()); err != nil {
+			s.log.add(record{kind: faultBegan, node: -1, detail: "server not started: " + err.Error()})
+		}
+	})
+}
+
+func (s *soak) stopServers() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, sv := range s.servers {
+		sv.kill()
+	}
+}
--- /dev/null
+++ b/internal/lab/soak/terms.go
@@ -0,0 +1,109 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"time"
+)
+
+// class is one class of requests and its terms.
+type class struct {
+	name     string
+	single   bool // may not be repeated
+	deadline time.Duration
+	floor    int
+	seats    int // sessions of a title that one node may hold; 0 is no bound
+}
+
+// classes are those of every soak.
+var classes = []class{
+	{name: "free", deadline: 1790 * time.Millisecond},
+	{name: "paid", single: true, deadline: 1430 * time.Millisecond, floor: 1},
+	{name: "seated", deadline: 1200 * time.Millisecond, seats: 2},
+}
+
+// The terms of every soak, which the nodes' settings state.
+const (
+	cells        = 12
+	copies       = 4
+	rungs        = 5
+	grace        = 250 * time.Millisecond // of a server that drains
+	warmUp       = 6 * time.Second
+	coldShare    = 0.4
+	fallFactor   = 3.0
+	fallTime     = time.Second
+	places       = 20
+	budgetShare  = 0.2
+	budgetSpare  = 5.0
+	budgetWindow = 5 * time.Second
+	sockets      = 256
+	memoryMB     = 64
+)
+
+// coldBudget is how many attempts a server may get within one fall time, that long after its start.
+func coldBudget(age time.Duration) float64 {
+	share := coldShare + (1-coldShare)*min(age.Seconds()/warmUp.Seconds(), 1)
+	n := fallFactor * places / warmUp.Seconds() * share * fallTime.Seconds()
+	if n < 30 {
+		return n + 3*math.Sqrt(n) + 3
+	}
+	return n + 2*math.Sqrt(n) + 2
+}
+
+// entry is one server's entry in the list.
+type entry struct {
+	ID          string `json:"instanceId"`
+	Addr        string `json:"hostPort"`
+	Zone        string `json:"zone"`
+	Kind        string `json:"machineType"`
+	Cell        int    `json:"cell"`
+	State       string `json:"lifecycle"`
+	Weight      int    `json:"weight"`
+	StartedAtMs int64  `json:"startedAtMs"`
+}
+
+// change is one numbered event of the coordinator's.
+type change struct {
+	Index     int64     `json:"index"`
+	Endpoints endpoints `json:"endpoints"`
+}
+
+type endpoints struct {
+	Generation int64   `json:"generation"`
+	Reset      bool    `json:"reset"`
+	Instances  []entry `json:"instances"`
+}
+
+// configuration is a node's file.
+func configuration(listen, coordinator string, node, nodes int, whole change) ([]byte, error) {
+	grades := []map[string]any{}
+	var floors, tops, seats []int
+	var scales []float64
+	for _, c := range classes {
+		effect := "pure"
+		if c.single {
+			effect = "side_effect"
+		}
+		grades = append(grades, map[string]any{"effect": effect, "goal_time": 1000000, "hard_limit": c.deadline.Microseconds(), "name": c.name, "worth": 1.0})
+		floors, tops, seats, scales = append(floors, c.floor), append(tops, rungs-1), append(seats, c.seats), append(scales, 1)
+	}
+	return json.MarshalIndent(map[string]any{
+		"name": fmt.Sprintf("n%d", node), "listen": listen, "coordinator": coordinator, "seed": fmt.Sprintf("%016x", 0x9e3779b97f4a7c15*uint64(node+1)),
+		"limits": map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": sockets},
+		"known":  map[string]any{"index": whole.Index, "updates": []change{whole}},
+		"settings": map[string]any{
+			"balancers": nodes, "me": node, "zone": 0, "zones": []string{"a"}, "models": []string{"std"},
+			"caps": map[string]any{"connect_timeout": 250000, "keepalive": 30000000, "most_tries": 4, "probes": true, "peers": false,
+				"retry_after": false, "max_retry_after": 1000000, "streams_per_conn": 100},
+			"family_info": map[string]any{"cabinets": 1, "cells": cells, "class_floor": floors, "class_scale": scales, "fleet_kb": 4e6, "guard": 0,
+				"highest_rung": tops, "level_kb": []float64{247, 443, 793, 1419, 2541}, "live": []bool{false, false, false}, "places_by_kind": []int{places},
+				"seats": seats, "see": 361661, "shared_adds": 1.0, "told_every": 0, "uplink_kb": 4e6},
+			"grades":    grades,
+			"reporting": map[string]any{"fields": []string{"cpu", "x1"}, "source": "pull"},
+			"rules": map[string]any{"cold": warmUp.Microseconds(), "counted_over": budgetWindow.Microseconds(), "fall": fallTime.Microseconds(),
+				"overload_factor": fallFactor, "repeat_ratio": budgetShare, "spare_attempts": budgetSpare, "start_capacity": coldShare,
+				"stop_sending_within": grace.Microseconds()},
+		},
+	}, "", " ")
+}
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -32,9 +32,12 @@
 
 // refuse writes the final answer that refuses an open request, unless it has had one.
 func (n *Node) refuse(v *viewer, id string, status int, comeBack float64) {
-	if !n.guard.Answer(n.now, id, refusalKind(status)) || v == nil {
+	if !n.guard.Answer(n.now, id, refusalKind(status)) || v == nil || n.spoils(SabotageAnswer, id) {
 		return
 	}
+	if n.spoils(SabotageTwice, id) {
+		v.send(refusal(id, status, comeBack))
+	}
 	if from, _ := v.send(refusal(id, status, comeBack)); from < 0 {
 		n.log.Info("an answer found its client's connection ended", str("sess", id), str("from", v.peer()))
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,14 +66,17 @@
 	wg     sync.WaitGroup
 	events chan event
 
-	front *choice.Front
-	guard *invariant.Guard
-	life  *lifecycle.Life
-	began time.Time
-	now   float64
-	due   float64 // the module's wake-up
-	ready bool
-	over  bool
+	network  Network
+	sabotage Sabotage
+	front    *choice.Front
+	guard    *invariant.Guard
+	life     *lifecycle.Life
+	began    time.Time
+	epoch    float64 // the wall clock at began, in seconds
+	now      float64
+	due      float64 // the module's wake-up
+	ready    bool
+	over     bool
 
 	sess      map[string]*sess            // emptied by final answers and ends
 	servers   []*server                   // in the order of the list; emptied by settleServer
@@ -135,6 +138,12 @@
 	Log     *zap.Logger
 	Hangups <-chan os.Signal // to read the configuration file again
 	Ends    <-chan os.Signal // to drain, then to cut
+	// Network opens and accepts connections; the system's where it is nil.
+	Network Network
+	// WallOffset is how far the wall clock that the node starts by is off, for trials.
+	WallOffset time.Duration
+	// Sabotage has the node break a rule, for trials of whoever judges it.
+	Sabotage Sabotage
 	// Listener is used where it is given, in place of the address of Start.
 	Listener net.Listener
 	serving  func(*Node) // for tests
@@ -145,7 +154,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{start: o.Start, reread: o.Reread, log: o.Log, ctx: ctx, events: make(chan event, queue), began: time.Now(),
 		sess: map[string]*sess{}, numbers: map[choice.ServerID]*server{}, past: map[string]*server{}, early: map[string]bool{},
-		counts: map[string]int{}}
+		counts: map[string]int{}, network: o.Network, sabotage: o.Sabotage}
+	if n.network == nil {
+		n.network = systemNetwork{}
+	}
+	n.epoch = float64(n.began.Add(o.WallOffset).UnixNano()) / 1e9
+	o.Sabotage.prepare(o.Start)
 	defer n.wg.Wait()
 	defer cancel()
 	n.tick()
@@ -157,7 +171,7 @@
 	l := o.Listener
 	if l == nil {
 		var err error
-		if l, err = net.Listen("tcp", o.Start.Listen); err != nil {
+		if l, err = n.network.Listen(o.Start.Listen); err != nil {
 			return lifecycle.Address, err
 		}
 	}
@@ -182,9 +196,9 @@
 	return 0, nil
 }
 
-// tick sets the clock: that of the wall at the start, monotonic from then on.
+// tick sets the clock: the wall's at the start, monotonic from then on.
 func (n *Node) tick() {
-	n.now = float64(n.began.UnixNano())/1e9 + time.Since(n.began).Seconds()
+	n.now = n.epoch + time.Since(n.began).Seconds()
 }
 
 // tell hands the loop an event; false once the node is over.
@@ -216,6 +230,9 @@
 		case <-hangups:
 			e.do = func() { n.life.At(n.now); n.life.Hangup() }
 		case sig := <-ends:
+			if n.sabotage == SabotageExit {
+				break
+			}
 			e.do = func() { n.life.At(n.now); n.life.Terminate(sig.String()) }
 		case <-timer.C:
 		}
@@ -310,6 +327,7 @@
 			n.log.Warn("an entry of the list is passed over", str("why", err.Error()))
 			continue
 		}
+		entry = n.sabotage.entry(entry)
 		if n.numbers[sv.number] == nil {
 			n.servers = append(n.servers, sv)
 			n.numbers[sv.number] = sv
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"slices"
 	"strconv"
 	"syscall"
@@ -141,8 +140,7 @@
 // readServer opens a connection and hands the loop what the server sends, until it ends.
 func (n *Node) readServer(ctx context.Context, l *link, addr string) {
 	defer n.wg.Done()
-	var d net.Dialer
-	nc, err := d.DialContext(ctx, "tcp", addr)
+	nc, err := n.network.Dial(ctx, addr)
 	l.stop()
 	if err != nil {
 		n.tell(event{do: func() { n.notOpened(l, err) }})
@@ -164,7 +162,7 @@
 		}
 		var m *rtsp.Message
 		if m, _, err = in.Next(); err == nil && (m == nil || in.Astray()) {
-			err = errors.New("what follows a message is none")
+			err = errAstray
 		}
 		if err == nil {
 			if !c.isEnding() {
@@ -179,6 +177,20 @@
 	n.tell(event{do: func() { n.closedServer(l, left, err) }})
 }
 
+// errAstray ends a connection on which what follows a message is none.
+var errAstray = errors.New("what follows a message is none")
+
+// disown has a server end what a SETUP may have set up there although its answer can't be had: it would stand unasked. Where
+// the answer was spoilt the server lives and surely holds it, so a connection is opened for that if there is none.
+func (n *Node) disown(s *sess, spoilt bool) {
+	b := tearDown(s.url, s.id, causeMoved)
+	if spoilt {
+		n.toServer(s.server, b)
+	} else {
+		n.say(s.server, b)
+	}
+}
+
 // notOpened takes it that a connection could not be opened: nothing ran.
 func (n *Node) notOpened(l *link, err error) {
 	sv := l.sv
@@ -224,8 +236,12 @@
 		n.setupOver(s, choice.Unsent, noReport)
 		return
 	}
+	if n.sabotage == SabotageDeadline {
+		wait += longerDeadline
+	}
 	s.from, s.to = l.send(setup(s, wait))
 	l.used = n.now
+	n.copyElsewhere(s)
 }
 
 // drop takes a connection from its server's.
@@ -243,8 +259,11 @@
 	n.drop(l)
 	n.log.Debug("connection to a server ended", str("server", l.sv.id), str("why", errText(err)), num("open", len(l.open)))
 	n.failTest(l, choice.Reset)
+	var bad *rtsp.MalformedError
+	spoilt := errors.As(err, &bad) || errors.Is(err, errAstray)
 	for _, s := range slices.Clone(l.open) {
 		if s.from >= 0 && s.from < left {
+			n.disown(s, spoilt)
 			n.setupOver(s, choice.Reset, noReport)
 			continue
 		}
@@ -364,7 +383,9 @@
 	case m.Status == rtsp.OK && len(m.Body) > 0:
 		n.stands(s, m)
 	case m.Status == rtsp.OK: // an answer without a description is spoilt
-		n.retire(s.on)
+		l := s.on
+		n.disown(s, true)
+		n.retire(l)
 	case m.Status == rtsp.NotEnoughBandwidth:
 		n.setupOver(s, choice.Full, readReport(m))
 	case m.Status == rtsp.SessionNotFound:
--- a/internal/node/sessions.go
+++ b/internal/node/sessions.go
@@ -147,6 +147,7 @@
 		n.withdraw(s, false)
 	}
 	n.unlink(s)
+	n.sendLater(s, sv)
 	n.counts["given up"]++
 	n.guard.Cancelled(s.id)
 	n.log.Debug("given up", str("sess", s.id), zap.Bool("out", was == out))
@@ -194,7 +195,10 @@
 	v.Open--
 	v.Standing++
 	v.proven = true
-	if n.guard.Answer(n.now, s.id, invariant.Served) {
+	if n.guard.Answer(n.now, s.id, invariant.Served) && !n.spoils(SabotageAnswer, s.id) {
+		if n.spoils(SabotageTwice, s.id) {
+			v.send(served(s.id, m.Body))
+		}
 		_, s.answered = v.sendNow(served(s.id, m.Body))
 	}
 	s.body = nil
