--- a/internal/lab/soak/judge.go
+++ b/internal/lab/soak/judge.go
@@ -119,12 +119,13 @@
 	o        Options
 	requests map[string]*history
 	order    []string
-	killed   map[int][]time.Duration
+	killed   map[int][]time.Duration // by node, in their order
+	exits    map[int][]time.Duration // the same of all ends of processes
 	report   *Report
 }
 
 func judge(list []record, o Options) *Report {
-	j := &judgement{o: o, requests: map[string]*history{}, killed: map[int][]time.Duration{}, report: &Report{list: list}}
+	j := &judgement{o: o, requests: map[string]*history{}, killed: map[int][]time.Duration{}, exits: map[int][]time.Duration{}, report: &Report{list: list}}
 	for _, r := range list {
 		j.take(r)
 	}
@@ -159,6 +160,8 @@
 		return
 	case nodeKilled:
 		j.killed[r.node] = append(j.killed[r.node], r.at)
+	case nodeExited:
+		j.exits[r.node] = append(j.exits[r.node], r.at)
 	case faultBegan:
 		j.report.Faults++
 	case nodeStarted:
@@ -209,6 +212,16 @@
 	return slices.ContainsFunc(j.killed[node], func(at time.Duration) bool { return at >= from && at <= to })
 }
 
+// nextExit is when the process that ran at an instant ended.
+func (j *judgement) nextExit(node int, after time.Duration) time.Duration {
+	for _, at := range j.exits[node] {
+		if at > after {
+			return at
+		}
+	}
+	return never
+}
+
 // answered judges a request's final answer.
 func (j *judgement) answered(id string, h *history) {
 	limit := h.sent.at + h.sent.wait + answerGrace
@@ -353,9 +366,7 @@
 					end = a.until // not known: it counts for the moment only
 				}
 			}
-			if len(j.killed[h.sent.node]) > 0 {
-				continue // what the next process holds is another matter
-			}
+			end = min(end, j.nextExit(h.sent.node, a.read.at)) // the next process holds nothing of it
 			key := holding{h.sent.node, h.sent.title}
 			// A node hears of an end later than it is written, so what is counted is never more than it holds.
 			steps[key] = append(steps[key], step{a.read.at, 1, id}, step{max(end-slack-busyMachine, a.read.at), -1, id})
