Slow start by chance where clocks are the processes' own; errors of the own machine; long lists

Cause: turns at a cold server need one clock; wall clocks are stepped. Any failed dial spoke against its server. A list of over 1 MiB was refused.

--- a/choice/api.go
+++ b/choice/api.go
@@ -65,6 +65,7 @@
 	ColdShare      float64 // and starts at this share of its capacity
 	FallFactor     float64 // sent so many times what it can take
 	FallTime       float64 // for so many seconds, a cold server falls over
+	OwnClock       bool    // the front's clock has nothing in common with other fronts'
 	SpareSetups    float64 // further SETUPs allowed however few sessions are taken
 	SetupShare     float64 // and for each session taken
 	SetupWindow    float64 // within so many seconds; 0 is no budget
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -19,6 +19,8 @@
 	"cmp"
 	"math"
 	"slices"
+
+	"rainhaven/choice/slowstart"
 )
 
 type Front struct {
@@ -33,6 +35,9 @@
 	fleet, lines, perPlace float64 // all links, all uplinks; a place of a link, 0 before the first list
 	lag, every, advice     float64 // of notes, between load notes, on coming back
 	slot, warmUp, coldest  float64 // a cold server's slot; its warm-up and first share
+	ownClock               bool    // fronts' clocks have nothing in common, so turns can't be taken
+	budget, slots          float64 // with an own clock: what a cold server can take in a fall time; its slots
+	seed                   uint64
 	near                   float64 // what a holder in the own zone is ahead by
 	spare, share, window   float64 // the ration of further SETUPs
 	fullAt, mark           float64 // load at which servers answer full, -1 is never; target over size
@@ -136,12 +141,17 @@
 	// A look must earn what a probe costs: at 0.01 of a session it does; at 0.08, among 300 fronts, it earned
 	// nothing; in between nothing was tried. Harm: what is known of a link comes later.
 	f.looks = s.Probes && s.ProbePrice < 0.04
+	f.ownClock, f.seed = s.OwnClock, s.Seed
 	// The least that any kind may be sent within the fall time, a quarter kept for set-ups of more work.
 	budget := s.FallFactor * slices.Min(f.places) / max(s.WarmUp, 1e-3) * s.ColdShare * s.FallTime
 	if budget > 0 {
 		// A window touches one slot more than fit in it; where that leaves none, half of each slot stays shut.
 		f.slot = s.FallTime / max(math.Floor(budget*0.75)-1, 0.5)
 		f.half = budget*0.75 < 2
+		if f.ownClock {
+			f.budget, f.slots = budget, slowstart.Slots(budget)
+			f.slot = s.FallTime / f.slots
+		}
 	}
 	return f
 }
@@ -493,13 +503,21 @@
 
 // open tells whether a server may have a SETUP now as far as its warming goes. Against all fronts, some just
 // restarted, meeting on a cold server: time is cut in slots that fronts own in turn, one SETUP a slot, more
-// as it warms. It would fail if fronts' clocks differed by more than a slot.
+// as it warms. It would fail if fronts' clocks differed by more than a slot; where they are each front's own, chance
+// takes the place of turns (choice/slowstart).
 func (f *Front) open(sv *server) bool {
 	w := f.warm(sv)
 	if w == 1 || f.slot == 0 {
 		return true
 	}
 	slot := math.Floor(f.now / f.slot)
+	if f.ownClock {
+		used := 0.0
+		if sv.slot == slot {
+			used = sv.used
+		}
+		return used < float64(slowstart.Allowed(f.budget*w/f.coldest, f.slots, f.fronts, f.seed, uint32(sv.id), int64(slot)))
+	}
 	if int(math.Mod(slot, float64(f.fronts))) != f.me%f.fronts || f.half && f.now/f.slot-slot > 0.5 {
 		return false
 	}
@@ -661,6 +679,9 @@
 	}
 	sv.probing = false
 	defer f.answered()
+	if o == Unsent { // the probe never left: nothing is known of the server
+		return
+	}
 	if o != Served {
 		f.setAside(sv, false)
 		return
--- a/choice/share/share.go
+++ b/choice/share/share.go
@@ -121,6 +121,13 @@
 // idle is common; against a server that takes connections and ends each, which would be opened anew without end.
 const Resent = 1
 
+// LocalTries is how many times a SETUP is tried again for which the own machine had no connection to give, and LocalPause
+// after how many seconds: descriptors and ports come back as connections close. Harm: an answer that comes so much later.
+const (
+	LocalTries = 3
+	LocalPause = 0.02
+)
+
 // Carry tells which of a server's connections carries a SETUP: an open one that carries none, the one used last; else a
 // new one, up to most of them; else the one that carries fewest, within streams where that is above 0.
 func Carry(list []Carrying, most, streams int) int {
--- /dev/null
+++ b/choice/slowstart/slowstart_test.go
@@ -0,0 +1,54 @@
+package slowstart
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// Whatever the number of processes and however their clocks differ, what all send a server within any fall time stays within
+// the rule's bound, although each always has a request for it; and a good part of the mean is used.
+func TestAllProcessesTogether(t *testing.T) {
+	const warmUp, coldShare, fall, plays = 12.0, 0.4, 1.0, 40
+	for _, processes := range []int{1, 2, 30, 300, 900} {
+		for _, n := range []float64{1, 4, 24, 30, 60, 200} {
+			r := rand.New(rand.NewPCG(uint64(processes), math.Float64bits(n)))
+			sum, worst := 0.0, 0.0
+			for play := range plays {
+				var sent []float64
+				slots := Slots(n)
+				slot := fall / slots
+				for p := range processes {
+					clock := r.Float64() * 7200 // each has a clock of its own
+					seed := r.Uint64()
+					for k := math.Floor(clock / slot); k*slot < clock+warmUp; k++ {
+						at := max(k*slot-clock, 0) // at the slot's first instant: they are never spread
+						can := n / coldShare * (coldShare + (1-coldShare)*at/warmUp)
+						for range Allowed(can, slots, processes, seed, uint32(play), int64(k)) {
+							sent = append(sent, at+float64(p)*1e-6)
+						}
+					}
+				}
+				slices.Sort(sent)
+				from := 0
+				for i, at := range sent {
+					for sent[from] < at-fall {
+						from++
+					}
+					can := n / coldShare * (coldShare + (1-coldShare)*max(at-fall, 0)/warmUp)
+					if over := float64(i-from+1) / Limit(can); over > worst {
+						worst = over
+					}
+				}
+				sum += float64(len(sent))
+			}
+			if worst > 1 {
+				t.Errorf("%d processes, budget %g: %.2f of the bound in the worst window", processes, n, worst)
+			}
+			if mean := sum / plays / warmUp; mean < 0.4*Mean(n) {
+				t.Errorf("%d processes, budget %g: %.2f a second where %.2f and more may go", processes, n, mean, Mean(n))
+			}
+		}
+	}
+}
--- a/internal/node/feed/feed.go
+++ b/internal/node/feed/feed.go
@@ -14,8 +14,9 @@
 const (
 	// A connection that takes longer is given up and tried again.
 	connect = time.Second
-	// mostLine is far past an event that carries a whole list of a thousand servers; against a line without end.
-	mostLine = 1 << 20
+	// mostLine is past an event that carries a whole list of 3,200 servers at 500 bytes each, twice over; against a line
+	// without end.
+	mostLine = 4 << 20
 )
 
 // Follow asks the coordinator at addr for what follows number last, and hands each new event on once and in order,
--- /dev/null
+++ b/internal/node/feed/list_test.go
@@ -0,0 +1,50 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A whole list of 3,200 servers with long ids comes slowly and in pieces: it is one event.
+func TestLongList(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	const servers = 3200
+	var entries []string
+	for k := range servers {
+		entries = append(entries, fmt.Sprintf(`{"instanceId":"s-%0200d","hostPort":"10.1.%d.%d:5060","zone":"%040d","machineType":"std","cell":%d,"lifecycle":"up","weight":4,"startedAtMs":0}`, k, k/250, k%250, k, k))
+	}
+	text := `{"index":1,"endpoints":{"generation":1,"reset":true,"instances":[` + strings.Join(entries, ",") + "]}}\n"
+	if len(text) < 1<<20 {
+		t.Fatalf("%d bytes are no long list", len(text))
+	}
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		for rest := text; rest != ""; {
+			k := min(len(rest), 30_000)
+			if _, err := c.Write([]byte(rest[:k])); err != nil {
+				return
+			}
+			rest = rest[k:]
+			time.Sleep(2 * time.Millisecond)
+		}
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	got := 0
+	Follow(ctx, l.Addr().String(), 0, 7, func(e Event) bool { got = len(e.Endpoints.Instances); cancel(); return true }, func(error) {})
+	if got != servers {
+		t.Errorf("%d servers came", got)
+	}
+}
--- a/internal/node/network.go
+++ b/internal/node/network.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"slices"
+	"syscall"
 )
 
 // Network opens and accepts a node's connections. It is the system's, or one that fails as the system may.
@@ -20,3 +23,14 @@
 	var d net.Dialer
 	return d.DialContext(ctx, "tcp", addr)
 }
+
+// localErrors are the errors of socket(2), bind(2) and connect(2) that tell of the own machine only: no descriptor, port,
+// memory or route is left, or it may not be used. Nothing has left, and they say nothing of the peer.
+var localErrors = []syscall.Errno{syscall.EADDRNOTAVAIL, syscall.EADDRINUSE, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM,
+	syscall.ENETUNREACH, syscall.ENETDOWN, syscall.EACCES, syscall.EPERM, syscall.EAGAIN, syscall.EINTR}
+
+// isLocal tells whether a connection could not be opened for want of something of the own machine's.
+func isLocal(err error) bool {
+	var errno syscall.Errno
+	return errors.As(err, &errno) && slices.Contains(localErrors, errno)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,6 +81,7 @@
 	sess      map[string]*sess            // emptied by final answers and ends
 	servers   []*server                   // in the order of the list; emptied by settleServer
 	numbers   map[choice.ServerID]*server // the same
+	byID      map[string]*server          // the same
 	past      map[string]*server          // SETUPs given up, whose answer may still come; emptied by their alarms
 	early     map[string]bool             // releases of sessions not known (yet); emptied by their alarms
 	owed      []owed                      // releases without a viewer's connection; emptied by time
@@ -153,7 +154,7 @@
 func Run(o Options) (lifecycle.Code, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{start: o.Start, reread: o.Reread, log: o.Log, ctx: ctx, events: make(chan event, queue), began: time.Now(),
-		sess: map[string]*sess{}, numbers: map[choice.ServerID]*server{}, past: map[string]*server{}, early: map[string]bool{},
+		sess: map[string]*sess{}, numbers: map[choice.ServerID]*server{}, byID: map[string]*server{}, past: map[string]*server{}, early: map[string]bool{},
 		counts: map[string]int{}, network: o.Network, sabotage: o.Sabotage}
 	if n.network == nil {
 		n.network = systemNetwork{}
@@ -314,8 +315,8 @@
 	at := len(n.later) - 1
 	for _, i := range e.Endpoints.Instances {
 		var sv *server
-		if k := slices.IndexFunc(n.servers, func(s *server) bool { return s.id == i.ID }); k >= 0 {
-			sv = n.servers[k]
+		if known := n.byID[i.ID]; known != nil {
+			sv = known
 		} else if i.State == "removed" {
 			continue
 		} else {
@@ -328,15 +329,23 @@
 			continue
 		}
 		entry = n.sabotage.entry(entry)
+		anew := sv.startTold(i.StartedAtMs)
+		if anew {
+			sv.born = n.started(i.StartedAtMs)
+		}
+		entry.Born = sv.born
 		if n.numbers[sv.number] == nil {
 			n.servers = append(n.servers, sv)
 			n.numbers[sv.number] = sv
+			n.byID[sv.id] = sv
 		}
 		named[sv] = true
 		if i.Addr != "" && entry.State != choice.Gone {
 			sv.addr = i.Addr
 		}
-		n.startedAnew(sv, entry.Born)
+		if anew {
+			n.startedAnew(sv, n.now-n.sinceStart(i.StartedAtMs))
+		}
 		n.later[at].List = append(n.later[at].List, entry)
 		n.log.Debug("listed", str("server", i.ID), str("state", i.State), num("cell", i.Cell))
 		n.moved(sv, entry.State)
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -25,6 +25,8 @@
 	number  choice.ServerID
 	addr    string
 	state   choice.Lifecycle
+	told    float64 // its start as the list last told it: Unix milliseconds, 0 is long ago
+	born    float64 // counts as started then; 0 is long ago
 	conns   []*link // emptied as they end
 	held    []*sess // standing there; emptied as they end
 	watch   vigil.Watch
@@ -99,6 +101,9 @@
 
 // room tells whether one more connection to a server may be opened; where they are many an idle one gives way.
 func (n *Node) room() bool {
+	if n.links() < share.Servers(n.start.Sockets) {
+		return true
+	}
 	var links []*link
 	var list []share.Carrying
 	for _, sv := range n.servers {
@@ -108,9 +113,6 @@
 			}
 		}
 	}
-	if n.links() < share.Servers(n.start.Sockets) {
-		return true
-	}
 	if i := share.Yield(list); i >= 0 {
 		n.retire(links[i])
 		links[i].drop()
@@ -197,6 +199,10 @@
 	n.drop(l)
 	refused := errors.Is(err, syscall.ECONNREFUSED)
 	n.log.Debug("no connection", str("server", sv.id), str("why", err.Error()))
+	if isLocal(err) {
+		n.notOpenedHere(l)
+		return
+	}
 	n.failTest(l, choice.NoConnection)
 	for _, s := range slices.Clone(l.open) {
 		n.setupOver(s, choice.NoConnection, noReport)
@@ -208,6 +214,25 @@
 	}
 }
 
+// notOpenedHere takes it that the own machine had no connection to give: that speaks against no server, and what waited for
+// it is tried again shortly, a few times within its deadline.
+func (n *Node) notOpenedHere(l *link) {
+	n.counts["no connection of the own machine"]++
+	n.failTest(l, choice.Unsent)
+	for _, s := range slices.Clone(l.open) {
+		n.unlink(s)
+		if s.local++; s.local > share.LocalTries {
+			n.setupOver(s, choice.Unsent, noReport)
+			continue
+		}
+		n.after(share.LocalPause, func() {
+			if n.sess[s.id] == s && s.state == out && s.on == nil {
+				n.carry(s)
+			}
+		})
+	}
+}
+
 func (n *Node) openedServer(l *link) {
 	if l.closed {
 		l.end()
@@ -536,6 +561,7 @@
 	}
 	if len(sv.conns) == 0 && n.numbers[sv.number] == sv {
 		delete(n.numbers, sv.number)
+		delete(n.byID, sv.id)
 		n.servers = slices.DeleteFunc(n.servers, func(o *server) bool { return o == sv })
 	}
 }
--- a/internal/node/sessions.go
+++ b/internal/node/sessions.go
@@ -32,14 +32,14 @@
 	if n.sess[a.id] != nil {
 		return
 	}
-	k := slices.IndexFunc(n.servers, func(s *server) bool { return s.id == a.at })
-	if k < 0 || n.early[a.id] || len(n.sess)-n.open >= share.Handed(n.start.MemoryMB) {
+	sv := n.byID[a.at]
+	if sv == nil || n.early[a.id] || len(n.sess)-n.open >= share.Handed(n.start.MemoryMB) {
 		delete(n.early, a.id)
 		v.send(tearDown(a.url, a.id, causeCut))
 		return
 	}
 	a.body = nil
-	s := &sess{ask: a, viewer: v, state: standing, since: n.now, server: n.servers[k], rung: n.start.Figures.Groups[a.group].Floor}
+	s := &sess{ask: a, viewer: v, state: standing, since: n.now, server: sv, rung: n.start.Figures.Groups[a.group].Floor}
 	n.sess[s.id] = s
 	v.held = append(v.held, s)
 	v.Standing++
@@ -133,7 +133,11 @@
 func (n *Node) timedOut(s *sess) {
 	s.waiting = nil
 	if n.unsent(s) {
-		n.setupOver(s, choice.NoConnection, noReport)
+		o := choice.NoConnection
+		if s.on == nil { // the own machine had none to give
+			o = choice.Unsent
+		}
+		n.setupOver(s, o, noReport)
 		return
 	}
 	n.withdraw(s, true)
--- a/internal/node/standin_test.go
+++ b/internal/node/standin_test.go
@@ -232,6 +232,7 @@
 	feed    net.Listener
 	follows chan *feedPeer
 	reread  func() (*start.Start, error)
+	network Network           // the system's where it is nil
 	logged  func(what string) // hears of each line of the log as it is written
 }
 
@@ -282,7 +283,7 @@
 	got := make(chan *Node, 1)
 	go func() {
 		code, err := Run(Options{Start: s, Listener: l, Log: log, Hangups: f.hangups, Ends: f.ends, serving: func(n *Node) { got <- n },
-			Reread: func() (*start.Start, error) { return f.reread() }})
+			Network: f.network, Reread: func() (*start.Start, error) { return f.reread() }})
 		if err != nil {
 			t.Error(err)
 		}
--- a/internal/node/start/start.go
+++ b/internal/node/start/start.go
@@ -81,6 +81,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	figures.OwnClock = true // processes on machines whose clocks are stepped
 	if figures.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
 		return nil, fmt.Errorf("seed %.30q is not a number in hex", f.Seed)
 	}
--- /dev/null
+++ b/internal/node/started.go
@@ -0,0 +1,28 @@
+package node
+
+import "rainhaven/choice/slowstart"
+
+// A server's start is told by the wall clock of another machine, and wall clocks are stepped. The functions of this file
+// alone compare the two; whatever else is timed is a span of the own monotonic clock.
+
+// startTold takes the start that the list tells of a server; true where that is another one than before.
+func (sv *server) startTold(ms float64) bool {
+	anew := ms > 0 && ms != sv.told
+	sv.told = ms
+	return anew
+}
+
+// sinceStart is how many seconds ago a server started as far as the own wall clock can tell, within what is likely.
+func (n *Node) sinceStart(ms float64) float64 {
+	return slowstart.Since(n.now - ms/1000)
+}
+
+// started is the instant from which a server counts as started. Of a start told while the node runs that is when it was
+// told: it can't have been later, and the server is warm a little later for it. Of one known at the own start there is only
+// the wall clock.
+func (n *Node) started(ms float64) float64 {
+	if n.ready {
+		return n.now
+	}
+	return min(ms/1000, n.now)
+}
--- /dev/null
+++ b/internal/node/terms_test.go
@@ -0,0 +1,122 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"rainhaven/internal/rtsp"
+)
+
+// failingNetwork fails so many dials with an error of the system's.
+type failingNetwork struct {
+	systemNetwork
+	left  atomic.Int32
+	errno syscall.Errno
+}
+
+func (f *failingNetwork) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	if f.left.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", f.errno)}
+	}
+	return f.systemNetwork.Dial(ctx, addr)
+}
+
+// What the own machine lacks speaks against no server: the request is served there as soon as there is a connection, and the
+// server is not set aside. A peer that can't be reached is.
+func TestErrorsOfTheOwnMachine(t *testing.T) {
+	for _, c := range []struct {
+		errno syscall.Errno
+		local bool
+	}{{syscall.EADDRNOTAVAIL, true}, {syscall.ENFILE, true}, {syscall.EMFILE, true}, {syscall.ENOBUFS, true}, {syscall.ENETUNREACH, true},
+		{syscall.EINTR, true}, {syscall.ETIMEDOUT, false}, {syscall.EHOSTUNREACH, false}, {syscall.ECONNREFUSED, false}} {
+		t.Run(c.errno.Error(), func(t *testing.T) {
+			failing := &failingNetwork{errno: c.errno}
+			var s1 *host
+			f := newFarm(t, 256, func(f *farm) []*host {
+				f.network, s1 = failing, f.host("s-1")
+				return []*host{s1}
+			})
+			failing.left.Store(2)
+			v := f.viewer()
+			v.setup(id(1), "paid", "")
+			if c.local {
+				f.serve(s1, v)
+			} else {
+				v.want("503")
+			}
+			aside := false
+			f.see(func(n *Node) { aside = n.front.Beliefs()[0].Aside })
+			if aside == c.local {
+				t.Errorf("set aside: %v", aside)
+			}
+		})
+	}
+}
+
+// Where the own machine has no connection for as long as the client waits, the request is refused in time, as nothing ran.
+func TestNoConnectionOfTheOwnMachineAtAll(t *testing.T) {
+	failing := &failingNetwork{errno: syscall.EADDRNOTAVAIL}
+	f := newFarm(t, 256, func(f *farm) []*host { f.network = failing; return []*host{f.host("s-1")} })
+	failing.left.Store(1 << 20)
+	v := f.viewer()
+	v.setup(id(1), "paid", "")
+	v.want("503")
+	f.until("nothing is left of it", func(n *Node) bool { return len(n.sess) == 0 && n.open == 0 })
+}
+
+// A server's start is told by a clock that may be off by an hour, either way: the server is cold from when it was told, and
+// warm again after its time, not an hour later. An entry that tells the same start again starts nothing anew.
+func TestStartToldByAClockThatIsOff(t *testing.T) {
+	for _, off := range []time.Duration{0, time.Second, -3 * time.Second, time.Hour, -time.Hour} {
+		t.Run(off.String(), func(t *testing.T) {
+			f, _ := single(t, 256)
+			feed := f.followed()
+			s2 := f.host("s-2")
+			told := strings.Replace(entry("s-2", s2.Addr().String(), "up"), `"startedAtMs":0`, fmt.Sprintf(`"startedAtMs":%d`, time.Now().Add(off).UnixMilli()), 1)
+			fmt.Fprintln(feed, change(2, false, told))
+			f.until("it is known", func(n *Node) bool { return n.byID["s-2"] != nil })
+			born := 0.0
+			f.see(func(n *Node) {
+				if born = n.byID["s-2"].born; born > n.now || born < n.now-5 {
+					t.Errorf("counts as started %.1f s ago", n.now-born)
+				}
+			})
+			fmt.Fprintln(feed, change(3, false, told))
+			f.until("it is told again", func(n *Node) bool { return n.index == 3 })
+			f.see(func(n *Node) {
+				if again := n.byID["s-2"].born; again != born {
+					t.Errorf("starts anew %.1f s later", again-born)
+				}
+			})
+		})
+	}
+}
+
+// Requests with very little time left are answered in time, or their server is told no more than that.
+func TestLittleTimeLeft(t *testing.T) {
+	f, s1 := single(t, 256)
+	for k, patience := range []int{1, 5, 12, 13, 30, 50} {
+		v := f.viewer()
+		v.say("%s", request(k, patience))
+		sent := time.Now()
+		m := v.within(time.Duration(patience)*time.Millisecond + 500*time.Millisecond)
+		if s := said(m); s != "503" && s != "500" {
+			t.Errorf("%d ms: %s after %v", patience, s, time.Since(sent))
+		}
+	}
+	for len(s1.seen) > 0 {
+		if x := <-s1.seen; x.m.Method == rtsp.Setup {
+			var wait int
+			if fmt.Sscan(x.m.Header.Get(fieldWait), &wait); wait > 50 {
+				t.Errorf("a server is told %d ms", wait)
+			}
+		}
+	}
+}
