--- /dev/null
+++ b/internal/lab/soak/soak_test.go
@@ -0,0 +1,152 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	frontnode "rainhaven/internal/node"
+)
+
+// program builds the program whose processes are played.
+func program(t *testing.T) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "rainhaven")
+	build := exec.Command("go", "build", "-buildvcs=false", "-o", path, "rainhaven/cmd/rainhaven")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return path
+}
+
+// short is a soak that takes little time.
+func short(t *testing.T, program string, seed uint64) Options {
+	o := Usual()
+	o.Program, o.Folder, o.Seed, o.Nodes, o.Long = program, t.TempDir(), seed, 12, 12*time.Second
+	return o
+}
+
+// Real processes under overlapping faults keep every invariant.
+func TestSoak(t *testing.T) {
+	p := program(t)
+	for _, seed := range []uint64{1, 2} {
+		r, err := Run(context.Background(), short(t, p, seed))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !r.OK() || r.Requests < 300 || r.Served < r.Requests/2 {
+			var b bytes.Buffer
+			r.Write(&b)
+			t.Errorf("seed %d:\n%s", seed, b.String())
+		}
+	}
+}
+
+// caught names the invariant that each sabotage must break.
+var caught = map[frontnode.Sabotage]Invariant{
+	frontnode.SabotageAnswer: Answered, frontnode.SabotageTwice: Answered, frontnode.SabotageRefusal: NotRepeated,
+	frontnode.SabotageRepeat: NotRepeated, frontnode.SabotageOverlap: OneAttempt, frontnode.SabotageDrain: Drained,
+	frontnode.SabotageSlowStart: SlowStart, frontnode.SabotageFloor: Terms, frontnode.SabotageSeats: Terms,
+	frontnode.SabotageBudget: RetryBudget, frontnode.SabotageCancel: NotAfterEnd, frontnode.SabotageDeadline: Deadline,
+	frontnode.SabotageReady: Ready, frontnode.SabotageExit: Ended,
+}
+
+// Each invariant has a sabotage, and each sabotage an invariant.
+func TestEachInvariantHasASabotage(t *testing.T) {
+	seen := map[Invariant]bool{}
+	for _, s := range frontnode.Sabotages {
+		if caught[s] == "" {
+			t.Errorf("%s breaks nothing", s)
+		}
+		seen[caught[s]] = true
+	}
+	for _, i := range Invariants {
+		if !seen[i] {
+			t.Errorf("no sabotage breaks %q", i)
+		}
+	}
+}
+
+// Sabotaged processes are caught: a few in each run, by their seeds; all with SOAK_SABOTAGES set. Those that need particular
+// faults or many processes are played by `rainhaven soak --sabotage`.
+func TestSabotagesAreCaught(t *testing.T) {
+	p := program(t)
+	list := []frontnode.Sabotage{frontnode.SabotageAnswer, frontnode.SabotageOverlap, frontnode.SabotageDeadline}
+	if os.Getenv("SOAK_SABOTAGES") != "" {
+		list = frontnode.Sabotages
+	}
+	for _, s := range list {
+		t.Run(string(s), func(t *testing.T) {
+			o := short(t, p, 1)
+			o.Sabotage = s
+			r, err := Run(context.Background(), o)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var b bytes.Buffer
+			r.Write(&b)
+			if !strings.Contains(b.String(), "violated: ") {
+				t.Fatalf("nothing was noticed:\n%s", b.String())
+			}
+			for _, v := range r.Violations {
+				if v.Invariant == caught[s] {
+					return
+				}
+			}
+			t.Errorf("%q was not violated:\n%s", caught[s], b.String())
+		})
+	}
+}
+
+// The judge alone, on traffic made by hand: a clean request passes, and each way to break an invariant is found.
+func TestJudge(t *testing.T) {
+	const id = "0003000000000007"
+	sent := record{at: time.Second, kind: requestSent, request: id, node: 3, class: 1, wait: 1430 * time.Millisecond, title: "t"}
+	attempt := func(at time.Duration, server string) record {
+		return record{at: at, kind: attemptRead, request: id, server: server, node: 3, rung: 1, wait: 300 * time.Millisecond}
+	}
+	answered := func(at time.Duration, server string, status int) record {
+		return record{at: at, kind: attemptAnswered, request: id, server: server, node: 3, status: status}
+	}
+	read := func(at time.Duration, status int, body string) record {
+		return record{at: at, kind: answerRead, request: id, node: 3, status: status, detail: body}
+	}
+	ms := time.Millisecond
+	clean := []record{sent, attempt(1010*ms, "s-1"), answered(1020*ms, "s-1", 453), attempt(1030*ms, "s-2"), answered(1040*ms, "s-2", 200), read(1050*ms, 200, description(id, "s-2"))}
+	for _, c := range []struct {
+		name string
+		list []record
+		want Invariant
+	}{
+		{"clean", clean, ""},
+		{"cancelled", []record{sent, {at: 1100 * ms, kind: requestCanceled, request: id, node: 3}}, ""},
+		{"its node killed", []record{sent, {at: 1100 * ms, kind: nodeKilled, node: 3}}, ""},
+		{"it crossed a close", []record{sent, {at: 1020 * ms, kind: requestCut, request: id, node: 3}}, ""},
+		{"no answer", clean[:5], Answered},
+		{"two answers", append(append([]record{}, clean...), read(1060*ms, 503, "")), Answered},
+		{"another one's answer", append(append([]record{}, clean[:5]...), read(1050*ms, 200, description(id, "s-1"))), Answered},
+		{"late", append(append([]record{}, clean[:5]...), read(3500*ms, 200, description(id, "s-2"))), Answered},
+		{"closed unanswered", []record{sent, {at: 1300 * ms, kind: requestCut, request: id, node: 3}}, Answered},
+		{"repeated", []record{sent, attempt(1010*ms, "s-1"), answered(1020*ms, "s-1", 500), attempt(1030*ms, "s-2"), read(1050*ms, 500, "")}, NotRepeated},
+		{"refused", []record{sent, attempt(1010*ms, "s-1"), answered(1020*ms, "s-1", 500), read(1050*ms, 503, "")}, NotRepeated},
+		{"two out", []record{sent, attempt(1010*ms, "s-1"), attempt(1030*ms, "s-2"), answered(1200*ms, "s-1", 453), answered(1200*ms, "s-2", 200), read(1210*ms, 200, description(id, "s-2"))}, OneAttempt},
+		{"after its end", []record{sent, {at: 1100 * ms, kind: requestCanceled, request: id, node: 3}, attempt(1400*ms, "s-1")}, NotAfterEnd},
+		{"told longer", []record{sent, {at: 2000 * ms, kind: attemptRead, request: id, server: "s-1", rung: 1, wait: 900 * ms}, read(2100*ms, 500, "")}, Deadline},
+		{"below the floor", []record{sent, {at: 1010 * ms, kind: attemptRead, request: id, server: "s-1", rung: 0}, read(1100*ms, 500, "")}, Terms},
+		{"drained", []record{sent, {at: 100 * ms, kind: entryTold, server: "s-1", detail: "draining", wait: 100 * ms}, attempt(1010*ms, "s-1"), read(1100*ms, 500, "")}, Drained},
+	} {
+		r := judge(c.list, Usual())
+		found := c.want == ""
+		for _, v := range r.Violations {
+			found = found || v.Invariant == c.want
+		}
+		if !found || c.want == "" && !r.OK() {
+			t.Errorf("%s: %v where %q is due", c.name, r.Violations, c.want)
+		}
+	}
+}
