--- a/choice/share/share.go
+++ b/choice/share/share.go
@@ -128,6 +128,10 @@
 	LocalPause = 0.02
 )
 
+// ListenFor is how many seconds a process that starts tries to get its address: one before it may just be ending. Nine in ten
+// restarted ones are to be ready within 10 s.
+const ListenFor = 5.0
+
 // Carry tells which of a server's connections carries a SETUP: an open one that carries none, the one used last; else a
 // new one, up to most of them; else the one that carries fewest, within streams where that is above 0.
 func Carry(list []Carrying, most, streams int) int {
--- a/internal/node/exit.go
+++ b/internal/node/exit.go
@@ -6,11 +6,14 @@
 	"time"
 )
 
+// SIGKILL comes 0.15 s after the drain's end at the earliest (share.Drain): all three together take less.
 const (
+	// flush is how long answers that are queued at the exit may take to leave.
+	flush = 50 * time.Millisecond
 	// stopReading is how long the readers of clients' connections may take to hand over what they have read.
-	stopReading = 50 * time.Millisecond
+	stopReading = 30 * time.Millisecond
 	// forceClose is how long, once all is answered, a client that does not read may hold up the exit.
-	forceClose = 100 * time.Millisecond
+	forceClose = 40 * time.Millisecond
 )
 
 // finish answers what is open at the exit and closes the clients' connections. What was read and ends without its answer is
--- a/internal/node/network.go
+++ b/internal/node/network.go
@@ -4,8 +4,12 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"slices"
 	"syscall"
+	"time"
+
+	"rainhaven/choice/share"
 )
 
 // Network opens and accepts a node's connections. It is the system's, or one that fails as the system may.
@@ -27,10 +31,29 @@
 // localErrors are the errors of socket(2), bind(2) and connect(2) that tell of the own machine only: no descriptor, port,
 // memory or route is left, or it may not be used. Nothing has left, and they say nothing of the peer.
 var localErrors = []syscall.Errno{syscall.EADDRNOTAVAIL, syscall.EADDRINUSE, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM,
-	syscall.ENETUNREACH, syscall.ENETDOWN, syscall.EACCES, syscall.EPERM, syscall.EAGAIN, syscall.EINTR}
+	syscall.ENETUNREACH, syscall.ENETDOWN, syscall.EAGAIN, syscall.EINTR}
 
 // isLocal tells whether a connection could not be opened for want of something of the own machine's.
 func isLocal(err error) bool {
 	var errno syscall.Errno
 	return errors.As(err, &errno) && slices.Contains(localErrors, errno)
 }
+
+// listen listens on an address. One that is still another process's, as just after a restart, and what the own machine lacks
+// for a moment are tried again for a while; a signal to end ends that.
+func (n *Node) listen(addr string, ends <-chan os.Signal) (net.Listener, error) {
+	for began := time.Now(); ; {
+		l, err := n.network.Listen(addr)
+		if err == nil || !isLocal(err) || time.Since(began).Seconds() > share.ListenFor {
+			return l, err
+		}
+		select {
+		case <-ends:
+			return nil, err
+		case <-time.After(listenPause):
+		}
+	}
+}
+
+// listenPause lies between two tries to listen.
+const listenPause = 20 * time.Millisecond
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -114,8 +114,6 @@
 	keepOwed = 8.0
 	// pace is how often servers are looked after and viewers' connections swept.
 	pace = 0.1
-	// flush is how long answers that are queued at the exit may take to leave.
-	flush = 100 * time.Millisecond
 	// queue is how many events may wait for the loop; readers wait beyond.
 	queue = 256
 )
@@ -172,7 +170,7 @@
 	l := o.Listener
 	if l == nil {
 		var err error
-		if l, err = n.network.Listen(o.Start.Listen); err != nil {
+		if l, err = n.listen(o.Start.Listen, o.Ends); err != nil {
 			return lifecycle.Address, err
 		}
 	}
@@ -198,9 +196,10 @@
 }
 
 // tick sets the clock: the wall's at the start, monotonic from then on.
-func (n *Node) tick() {
-	n.now = n.epoch + time.Since(n.began).Seconds()
-}
+func (n *Node) tick() { n.now = n.clock() }
+
+// clock reads the node's clock; it is safe for concurrent use.
+func (n *Node) clock() float64 { return n.epoch + time.Since(n.began).Seconds() }
 
 // tell hands the loop an event; false once the node is over.
 func (n *Node) tell(e event) bool {
--- a/internal/node/sessions.go
+++ b/internal/node/sessions.go
@@ -13,11 +13,11 @@
 	"rainhaven/internal/wire"
 )
 
-// ask takes a new session to the module.
-func (n *Node) ask(v *viewer, a ask) {
+// ask takes a new session to the module. Its deadline counts from when it was read, however long it waited for the loop.
+func (n *Node) ask(v *viewer, a ask, at float64) {
 	s := &sess{ask: a, viewer: v, rung: n.start.Figures.Groups[a.group].Floor, from: -1}
-	s.request.SetupTimeout = n.now + max(a.patience-share.Margin, 0)
-	n.guard.Read(n.now, s.id, n.start.Figures.Groups[a.group].Paid, n.now+a.patience)
+	s.request.SetupTimeout = at + max(a.patience-share.Margin, 0)
+	n.guard.Read(n.now, s.id, n.start.Figures.Groups[a.group].Paid, at+a.patience)
 	n.sess[s.id] = s
 	v.held = append(v.held, s)
 	v.Open++
--- a/internal/node/terms_test.go
+++ b/internal/node/terms_test.go
@@ -11,6 +11,10 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
+	"rainhaven/choice/lifecycle"
+	"rainhaven/internal/node/start"
 	"rainhaven/internal/rtsp"
 )
 
@@ -120,3 +124,48 @@
 		}
 	}
 }
+
+// A process that starts while the one before it still has the address serves as soon as that has ended.
+func TestAddressFreedLate(t *testing.T) {
+	f, _ := single(t, 256)
+	before, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := start.Parse([]byte(f.config(256, 0, "")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Listen = before.Addr().String()
+	ends, over := make(chan os.Signal, 3), make(chan lifecycle.Code, 1)
+	go func() {
+		code, err := Run(Options{Start: s, Log: zap.NewNop(), Ends: ends})
+		if err != nil {
+			t.Error(err)
+		}
+		over <- code
+	}()
+	time.AfterFunc(200*time.Millisecond, func() { before.Close() })
+	ready := false
+	for end := time.Now().Add(patience); !ready && time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		c, err := net.Dial("tcp", s.Listen)
+		if err != nil {
+			continue
+		}
+		p := newPeer(t, c, "client")
+		p.say("OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n")
+		select {
+		case m := <-p.in:
+			ready = said(m) == "200"
+		case <-time.After(300 * time.Millisecond):
+		}
+		c.Close()
+	}
+	if !ready {
+		t.Error("it does not serve")
+	}
+	ends <- syscall.SIGTERM
+	if code := <-over; code != lifecycle.Clean {
+		t.Errorf("exit %d", code)
+	}
+}
--- a/internal/node/viewer.go
+++ b/internal/node/viewer.go
@@ -65,7 +65,8 @@
 			var m *rtsp.Message
 			if m, _, err = in.Next(); err == nil && m != nil {
 				v.messageEnded()
-				if !n.tell(event{do: func() { n.heardViewer(v, m) }}) {
+				at := n.clock()
+				if !n.tell(event{do: func() { n.heardViewer(v, m, at) }}) {
 					break
 				}
 				continue
@@ -223,7 +224,7 @@
 }
 
 // heardViewer takes one message of a viewer's.
-func (n *Node) heardViewer(v *viewer, m *rtsp.Message) {
+func (n *Node) heardViewer(v *viewer, m *rtsp.Message, at float64) {
 	n.traceReceived(v.conn, m)
 	if v.closed || v.isEnding() {
 		n.log.Debug("said on a connection that has ended", str("from", v.peer()), str("method", m.Method), str("sess", m.Session()))
@@ -232,7 +233,7 @@
 	v.Spoke, v.Used = true, n.now
 	switch m.Method {
 	case rtsp.Setup:
-		n.setup(v, m)
+		n.setup(v, m, at)
 	case rtsp.TearDown:
 		n.withdrawn(v, m)
 	case rtsp.Options:
@@ -257,7 +258,7 @@
 	}
 }
 
-func (n *Node) setup(v *viewer, m *rtsp.Message) {
+func (n *Node) setup(v *viewer, m *rtsp.Message, at float64) {
 	a, err := n.readAsk(m)
 	if err != nil {
 		n.log.Debug("refused a SETUP", str("why", err.Error()))
@@ -284,7 +285,7 @@
 		v.send(response(m, rtsp.ServiceUnavailable))
 		return
 	}
-	n.ask(v, a)
+	n.ask(v, a, at)
 }
 
 // withdrawn takes a TEARDOWN: a SETUP is given up, or a session that stands is over, from any connection.
