Soak: clients at rest whose requests meet the idle close, nodes that stand still

Cause: the faults of the plan never met the end of a resting connection, nor a process that the machine does not run.

--- a/internal/lab/soak/node.go
+++ b/internal/lab/soak/node.go
@@ -166,6 +166,19 @@
 	}
 }
 
+// standStill has the process do nothing for so long, as a machine that is short of processor time may.
+func (n *node) standStill(long time.Duration) {
+	n.mu.Lock()
+	cmd, ready := n.cmd, n.ready
+	n.mu.Unlock()
+	if !ready {
+		return
+	}
+	n.log.add(record{kind: nodeStopped, node: n.index, wait: long})
+	cmd.Process.Signal(syscall.SIGSTOP)
+	time.AfterFunc(long, func() { cmd.Process.Signal(syscall.SIGCONT) })
+}
+
 // reload writes the configuration anew, broken or whole, and has the process read it.
 func (n *node) reload(broken bool) {
 	text, err := configuration(n.listen, n.coord.Addr().String(), n.index, n.nodes, n.coord.whole())
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -35,6 +35,13 @@
 			s.restart(s.nodes[k], false, long, s.offset(rand))
 		}
 	}},
+	{"nodes stand still", 300 * time.Millisecond, func(s *soak, rand *rand.Rand, long time.Duration) {
+		for _, n := range s.nodes {
+			if rand.IntN(2) == 0 {
+				n.standStill(long)
+			}
+		}
+	}},
 	{"configuration read again", 0, func(s *soak, rand *rand.Rand, _ time.Duration) {
 		for range 1 + rand.IntN(4) {
 			s.nodes[rand.IntN(len(s.nodes))].reload(rand.IntN(2) == 0)
--- a/internal/lab/soak/record.go
+++ b/internal/lab/soak/record.go
@@ -31,11 +31,12 @@
 	nodeTerminated              // it was sent SIGTERM
 	nodeExited                  // its process has ended
 	nodeKilled                  // it was sent SIGKILL
+	nodeStopped                 // it stands still (SIGSTOP) for so long
 	faultBegan                  // a fault of the plan begins
 )
 
 var kindNames = [...]string{"request sent", "request cancelled", "request cut", "answer read", "release read", "attempt read", "attempt answered",
-	"attempt given up", "session ended", "rung read", "entry told", "node started", "node ready", "node terminated", "node exited", "node killed", "fault"}
+	"attempt given up", "session ended", "rung read", "entry told", "node started", "node ready", "node terminated", "node exited", "node killed", "node stands still", "fault"}
 
 // record is one thing seen. Which fields say something depends on its kind.
 type record struct {
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -81,6 +81,7 @@
 	var all sync.WaitGroup
 	for _, c := range s.clients {
 		all.Go(func() { s.ask(ctx, c) })
+		all.Go(func() { c.rest(ctx, rand.New(rand.NewPCG(o.Seed, uint64(1000+c.node.index)))) })
 	}
 	s.playFaults(ctx)
 	<-ctx.Done()
