Follow the old coordinator until the new one has spoken

Cause: a reload left the old coordinator at once; a drain told while the new one was slow or down was heard by nobody (production's terms: a drain told by the old one only). Change: internal/node/watch.go, at most four watches, the older ones end with the newest one's first word.

--- a/internal/node/feed/feed.go
+++ b/internal/node/feed/feed.go
@@ -20,12 +20,13 @@
 )
 
 // Follow asks the coordinator at addr for what follows number last, and hands each new event on once and in order,
-// until ctx ends; pauses between connections follow from the seed. Why connections ended goes to broke.
-func Follow(ctx context.Context, addr string, last int64, seed uint64, take func(Event) bool, broke func(error)) {
+// until ctx ends; pauses between connections follow from the seed. Each whole line is told to heard before what it holds
+// is handed on; why connections ended goes to broke.
+func Follow(ctx context.Context, addr string, last int64, seed uint64, heard func(), take func(Event) bool, broke func(error)) {
 	pace := backoff.New(seed)
 	for ctx.Err() == nil {
 		had, began := last, time.Now()
-		err := follow(ctx, addr, &last, seconds(pace.Silence()), take)
+		err := follow(ctx, addr, &last, seconds(pace.Silence()), heard, take)
 		if ctx.Err() != nil {
 			return
 		}
@@ -40,7 +41,7 @@
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // follow is one connection's life; it ends after so much silence.
-func follow(ctx context.Context, addr string, last *int64, silence time.Duration, take func(Event) bool) error {
+func follow(ctx context.Context, addr string, last *int64, silence time.Duration, heard func(), take func(Event) bool) error {
 	d := net.Dialer{Timeout: connect}
 	c, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
@@ -79,6 +80,7 @@
 		if err != nil {
 			return err
 		}
+		heard()
 		switch {
 		case e.Index == 0 && number > *last:
 			return fmt.Errorf("events up to %d were not told, the last was %d", number, *last)
--- a/internal/node/feed/feed_test.go
+++ b/internal/node/feed/feed_test.go
@@ -81,7 +81,7 @@
 	done := make(chan bool)
 	began := time.Now()
 	go func() {
-		Follow(ctx, l.Addr().String(), 2, 7, func(e Event) bool {
+		Follow(ctx, l.Addr().String(), 2, 7, func() {}, func(e Event) bool {
 			if got = append(got, e.Index); e.Index == 7 {
 				cancel()
 			}
--- a/internal/node/feed/list_test.go
+++ b/internal/node/feed/list_test.go
@@ -43,7 +43,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	got := 0
-	Follow(ctx, l.Addr().String(), 0, 7, func(e Event) bool { got = len(e.Endpoints.Instances); cancel(); return true }, func(error) {})
+	Follow(ctx, l.Addr().String(), 0, 7, func() {}, func(e Event) bool { got = len(e.Endpoints.Instances); cancel(); return true }, func(error) {})
 	if got != servers {
 		t.Errorf("%d servers came", got)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -90,8 +90,8 @@
 	open      int           // requests without their answers
 	alarms    alarms
 	later     []wire.Event // for the next batch
+	watches   []*watch     // of the coordinators followed, newest last; emptied by the newest one's first word
 	index     int64        // the coordinator's last event
-	follow    context.CancelFunc
 
 	tests, wrongs int
 	looked        float64
@@ -178,7 +178,7 @@
 	n.guard = invariant.New(n.budget(), n.violated)
 	n.life = lifecycle.New(n.now, share.Drain(n.start.SetupTimeout), orders{n})
 	n.settle()
-	n.followFeed(o.Start.Coordinator)
+	n.followCoordinator(o.Start.Coordinator)
 	n.ready = true
 	n.life.Up()
 	n.accepting = make(chan struct{})
@@ -387,25 +387,5 @@
 	}
 }
 
-func (n *Node) followFeed(addr string) {
-	if n.follow != nil {
-		n.follow()
-	}
-	ctx, stop := context.WithCancel(n.ctx)
-	n.follow = stop
-	last := n.index
-	n.wg.Add(1)
-	go func() {
-		defer n.wg.Done()
-		feed.Follow(ctx, addr, last, n.start.Figures.Seed, func(e feed.Event) bool {
-			return n.tell(event{do: func() {
-				if e.Index > n.index { // one told by the coordinator before may still have waited here
-					n.listed(e)
-				}
-			}})
-		}, func(err error) { n.log.Debug("the coordinator's connection ended", str("why", errText(err))) })
-	}()
-}
-
 // testID names a test as sessions are named.
 func testID(seed uint64, k int) string { return fmt.Sprintf("%016x", seed+uint64(k)) }
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -24,7 +24,7 @@
 	n.log.Info("read the configuration file again", str("coordinator", s.Coordinator))
 	if s.Coordinator != n.start.Coordinator { // asking the same one anew would tell nothing, and is priced
 		n.start.Coordinator = s.Coordinator
-		n.followFeed(s.Coordinator)
+		n.followCoordinator(s.Coordinator)
 	}
 	n.life.Reloaded("")
 }
--- a/internal/node/terms_test.go
+++ b/internal/node/terms_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"strings"
@@ -13,6 +15,7 @@
 
 	"go.uber.org/zap"
 
+	"rainhaven/choice"
 	"rainhaven/choice/lifecycle"
 	"rainhaven/internal/node/start"
 	"rainhaven/internal/rtsp"
@@ -169,3 +172,65 @@
 		t.Errorf("exit %d", code)
 	}
 }
+
+// A new configuration names a coordinator that takes connections and says nothing yet: a drain that only the one before tells
+// is heeded. Once the new one has spoken the old one is left, and its connection closed.
+func TestOldCoordinatorIsHeardUntilTheNewOneSpeaks(t *testing.T) {
+	f, s1 := single(t, 256)
+	old := f.followed()
+	l, follows := f.coordinator()
+	f.reread = func() (*start.Start, error) { return &start.Start{Coordinator: l.Addr().String()}, nil }
+	f.hangups <- syscall.SIGHUP
+	c := <-follows
+	defer c.Close()
+	fmt.Fprintln(old, change(2, false, entry("s-1", s1.Addr().String(), "draining")))
+	f.until("the drain is heard", func(n *Node) bool { return n.servers[0].state == choice.Draining })
+	fmt.Fprintln(c, "2")
+	f.until("the old one is left", func(n *Node) bool { return len(n.watches) == 1 && n.watches[0].addr == l.Addr().String() })
+	old.SetReadDeadline(time.Now().Add(patience))
+	if _, err := old.Read(make([]byte, 1)); !errors.Is(err, io.EOF) && !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the old one's connection: %v", err)
+	}
+}
+
+// Ten configurations in a row, some of them broken, some naming the coordinator before: the last good one is in force, and no
+// more coordinators are followed than needed.
+func TestConfigurationsInARow(t *testing.T) {
+	f, s1 := single(t, 256)
+	f.followed()
+	var addrs []string
+	var follows []chan *feedPeer
+	for range 3 {
+		l, ch := f.coordinator()
+		addrs, follows = append(addrs, l.Addr().String()), append(follows, ch)
+	}
+	for k := range 10 {
+		read := make(chan bool, 1)
+		f.reread = func() (*start.Start, error) {
+			defer func() { read <- true }()
+			if k%3 == 1 {
+				return nil, errors.New("half a file")
+			}
+			return &start.Start{Coordinator: addrs[k%len(addrs)]}, nil
+		}
+		f.hangups <- syscall.SIGHUP
+		<-read
+	}
+	last := 9 % len(addrs)
+	over := make(chan bool)
+	defer close(over)
+	go func() { // a connection on which nothing is said for some seconds is given up for another
+		for {
+			select {
+			case c := <-follows[last]:
+				defer c.Close()
+				fmt.Fprintln(c, change(2, false, entry("s-1", s1.Addr().String(), "draining")))
+			case <-over:
+				return
+			}
+		}
+	}()
+	f.until("the last one is in force", func(n *Node) bool {
+		return n.servers[0].state == choice.Draining && len(n.watches) == 1 && n.watches[0].addr == addrs[last]
+	})
+}
--- /dev/null
+++ b/internal/node/watch.go
@@ -0,0 +1,67 @@
+package node
+
+import (
+	"context"
+	"slices"
+
+	"rainhaven/internal/node/feed"
+)
+
+// watch is the following of one coordinator.
+type watch struct {
+	addr  string
+	stop  context.CancelFunc
+	spoke bool // it has said something
+}
+
+// mostWatches is how many coordinators are followed at most while newer ones have not said anything yet.
+const mostWatches = 4
+
+// followCoordinator follows a coordinator. Those followed before are left once it has said something: until then they alone
+// may tell of a server that drains.
+func (n *Node) followCoordinator(addr string) {
+	if k := slices.IndexFunc(n.watches, func(w *watch) bool { return w.addr == addr }); k >= 0 { // back to one before
+		w := n.watches[k]
+		n.watches = append(slices.Delete(n.watches, k, k+1), w)
+		if w.spoke {
+			n.coordinatorSpoke(w)
+		}
+		return
+	}
+	if len(n.watches) == mostWatches {
+		n.watches[0].stop()
+		n.watches = slices.Delete(n.watches, 0, 1)
+	}
+	ctx, stop := context.WithCancel(n.ctx)
+	w := &watch{addr: addr, stop: stop}
+	n.watches = append(n.watches, w)
+	last := n.index
+	told := false
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		feed.Follow(ctx, addr, last, n.start.Figures.Seed, func() {
+			if !told {
+				told = n.tell(event{do: func() { n.coordinatorSpoke(w) }})
+			}
+		}, func(e feed.Event) bool {
+			return n.tell(event{do: func() {
+				if e.Index > n.index { // another coordinator, or this one before, has told it
+					n.listed(e)
+				}
+			}})
+		}, func(err error) {
+			n.log.Debug("the coordinator's connection ended", str("coordinator", addr), str("why", errText(err)))
+		})
+	}()
+}
+
+// coordinatorSpoke takes a coordinator's first word: the ones before it are no longer followed.
+func (n *Node) coordinatorSpoke(w *watch) {
+	w.spoke = true
+	k := max(slices.Index(n.watches, w), 0)
+	for _, before := range n.watches[:k] {
+		before.stop()
+	}
+	n.watches = slices.Delete(n.watches, 0, k)
+}
