--- a/choice/vigil/vigil.go
+++ b/choice/liveness/liveness.go
@@ -1,7 +1,7 @@
-// Package vigil decides what a front node does about servers that hold standing sessions and may have died: when it
+// Package liveness decides what a front node does about servers that hold standing sessions and may have died: when it
 // opens a connection to hear their releases, when it tests them, and when their sessions count as ended. No connection
 // owns a session that stands, so a break alone means nothing. It does no I/O.
-package vigil
+package liveness
 
 const (
 	// Quiet is how many seconds of silence from a server that holds sessions bring a test. A server that hangs resets its
--- a/choice/vigil/vigil_test.go
+++ b/choice/liveness/liveness_test.go
@@ -1,4 +1,4 @@
-package vigil
+package liveness
 
 import (
 	"testing"
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -42,7 +42,6 @@
 
 	mu      sync.Mutex
 	servers []*server // those that are up
-	cells   []int     // places without a server
 	made    int
 	crowded map[int]time.Duration // nodes that get several times the mean, until then
 	seed    uint64
--- a/internal/node/acts.go
+++ b/internal/node/acts.go
@@ -15,12 +15,12 @@
 type acts struct{ n *Node }
 
 func (a acts) Rung(id choice.SessID, rung int) {
-	s := a.n.sess[string(id)]
+	s := a.n.sessions[string(id)]
 	if s == nil {
 		return
 	}
 	s.rung = rung
-	if s.state == standing {
+	if s.state == established {
 		a.n.counts["rungs"]++
 		a.n.toServer(s.server, newRung(s))
 	}
@@ -28,7 +28,7 @@
 
 func (a acts) Setup(id choice.SessID, number choice.ServerID, wait float64) {
 	n := a.n
-	s, sv := n.sess[string(id)], n.numbers[number]
+	s, sv := n.sessions[string(id)], n.numbers[number]
 	if s == nil {
 		return
 	}
@@ -42,7 +42,7 @@
 		return
 	}
 	wait = n.sabotage.wait(wait)
-	s.state, s.server, s.until, s.resent, s.local = out, sv, n.now+wait, 0, 0
+	s.state, s.server, s.until, s.resent, s.local = attempting, sv, n.now+wait, 0, 0
 	s.waiting = n.after(wait, func() { n.timedOut(s) })
 	n.carry(s)
 }
@@ -55,7 +55,7 @@
 
 func (a acts) final(id choice.SessID, status int, comeBack float64) {
 	n := a.n
-	s := n.sess[string(id)]
+	s := n.sessions[string(id)]
 	if s == nil {
 		return
 	}
@@ -69,7 +69,7 @@
 		why := account.Say([]account.Entry{{At: n.now, Sess: id, Act: act, Seconds: comeBack, Standing: st, Holders: len(st.Holders)}})
 		n.log.Debug("refused", str("sess", s.id), num("status", status), zap.Strings("why", why))
 	}
-	n.refuse(s.viewer, s.id, status, comeBack)
+	n.refuse(s.client, s.id, status, comeBack)
 	n.forget(s)
 }
 
--- a/internal/node/viewer.go
+++ b/internal/node/client.go
@@ -15,8 +15,8 @@
 	"rainhaven/internal/rtsp"
 )
 
-// viewer is one of the viewers' connections, which carries many sessions.
-type viewer struct {
+// client is one of the clients' connections, which carries many sessions.
+type client struct {
 	*conn
 	share.Holding
 	readControl
@@ -25,10 +25,10 @@
 	stopping closeReason // why it is to be closed once its reader has stopped; empty where it is not
 	stopped  bool        // its reader has handed over all that it read
 	why      error       // why its reader ended
-	held     []*sess     // asked or standing with this connection; emptied as they end
+	held     []*session  // asked or standing with this connection; emptied as they end
 }
 
-// accept takes viewers' connections until the listener is closed.
+// accept takes clients' connections until the listener is closed.
 func (n *Node) accept(l net.Listener) {
 	defer n.wg.Done()
 	defer close(n.accepting)
@@ -42,18 +42,18 @@
 			time.Sleep(5 * time.Millisecond)
 			continue
 		}
-		v := &viewer{conn: newConn(nc, n.log), readControl: newReadControl(nc)}
+		v := &client{conn: newConn(nc, n.log), readControl: newReadControl(nc)}
 		if !n.tell(event{do: func() { n.opened(v) }}) {
 			v.close()
 			return
 		}
 		n.wg.Add(1)
-		go n.readViewer(v)
+		go n.readClient(v)
 	}
 }
 
-// readViewer hands the loop what a viewer sends, until its connection ends or the loop has it stopped.
-func (n *Node) readViewer(v *viewer) {
+// readClient hands the loop what a client sends, until its connection ends or the loop has it stopped.
+func (n *Node) readClient(v *client) {
 	defer n.wg.Done()
 	defer context.AfterFunc(n.ctx, func() { v.nc.Close() })()
 	in := rtsp.NewConn(v.nc, bounds)
@@ -66,7 +66,7 @@
 			if m, _, err = in.Next(); err == nil && m != nil {
 				v.messageEnded()
 				at := n.clock()
-				if !n.tell(event{do: func() { n.heardViewer(v, m, at) }}) {
+				if !n.tell(event{do: func() { n.heardClient(v, m, at) }}) {
 					break
 				}
 				continue
@@ -82,11 +82,11 @@
 		break
 	}
 	v.close()
-	n.tell(event{do: func() { n.closedViewer(v) }})
+	n.tell(event{do: func() { n.closedClient(v) }})
 }
 
 // readFailed has the loop end a connection from which nothing more can be read.
-func (n *Node) readFailed(v *viewer, err error) {
+func (n *Node) readFailed(v *client, err error) {
 	v.why = err
 	var bad *rtsp.MalformedError
 	late := errors.Is(err, os.ErrDeadlineExceeded) && !v.isEnding()
@@ -105,18 +105,18 @@
 	}
 }
 
-func (n *Node) opened(v *viewer) {
+func (n *Node) opened(v *client) {
 	v.Since, v.Used = n.now, n.now
 	n.counts["viewers"]++
-	n.viewers = append(n.viewers, v)
+	n.clients = append(n.clients, v)
 	n.makeRoom()
 }
 
-// makeRoom closes viewers' connections past their share of descriptors: those who give way first.
+// makeRoom closes clients' connections past their share of descriptors: those who give way first.
 func (n *Node) makeRoom() {
 	most := share.Viewers(n.start.Sockets, n.links())
 	open, ending := 0, 0
-	for _, v := range n.viewers {
+	for _, v := range n.clients {
 		if v.isEnding() || v.stopping != "" {
 			ending++
 		} else {
@@ -124,7 +124,7 @@
 		}
 	}
 	// Those that are being closed hold a descriptor as well: past as many as may be open none waits for its peer.
-	for _, v := range n.viewers {
+	for _, v := range n.clients {
 		if open+ending <= most {
 			return
 		}
@@ -133,8 +133,8 @@
 		}
 	}
 	for ; open > most; open-- {
-		var first *viewer
-		for _, v := range n.viewers {
+		var first *client
+		for _, v := range n.clients {
 			if v.isEnding() || v.stopping != "" || v.Rank(n.now) < 0 {
 				continue
 			}
@@ -149,9 +149,9 @@
 	}
 }
 
-// sweep closes viewers' connections that have had no session for long.
+// sweep closes clients' connections that have had no session for long.
 func (n *Node) sweep() {
-	for _, v := range n.viewers {
+	for _, v := range n.clients {
 		if v.Idle(n.now) {
 			n.closeUnused(v, unused)
 		}
@@ -160,7 +160,7 @@
 
 // overdue ends a connection whose message does not come to its end: what is open beside it is answered; where nothing is,
 // it is just closed.
-func (n *Node) overdue(v *viewer) {
+func (n *Node) overdue(v *client) {
 	if v.Open == 0 {
 		v.stopped = true // what its reader has is no whole message
 		n.closeClient(v, overdue)
@@ -170,7 +170,7 @@
 }
 
 // malformed answers what can't be read, and ends the connection: where its next message begins can't be known.
-func (n *Node) malformed(v *viewer, bad *rtsp.MalformedError) {
+func (n *Node) malformed(v *client, bad *rtsp.MalformedError) {
 	n.wrongs++
 	status := rtsp.BadRequest
 	r := &rtsp.Message{Header: rtsp.Header{}}
@@ -189,12 +189,12 @@
 }
 
 // abandon ends the requests of a connection that are without their answers; they get one only if it is wanted.
-func (n *Node) abandon(v *viewer, answer bool) {
+func (n *Node) abandon(v *client, answer bool) {
 	if v.Open == 0 {
 		return
 	}
 	for _, s := range slices.Clone(v.held) {
-		if s.state == standing {
+		if s.state == established {
 			continue
 		}
 		if answer {
@@ -204,27 +204,27 @@
 	}
 }
 
-func (n *Node) closedViewer(v *viewer) {
+func (n *Node) closedClient(v *client) {
 	if v.closed {
 		return
 	}
 	v.closed, v.stopped = true, true
-	n.log.Debug("a viewer's connection ended", str("from", v.peer()), str("why", errText(v.why)), str("closed", string(v.stopping)), zap.Bool("spoke", v.Spoke), zap.Float64("age", n.now-v.Since), num("open", v.Open), num("standing", v.Standing))
+	n.log.Debug("a client's connection ended", str("from", v.peer()), str("why", errText(v.why)), str("closed", string(v.stopping)), zap.Bool("spoke", v.Spoke), zap.Float64("age", n.now-v.Since), num("open", v.Open), num("standing", v.Standing))
 	n.abandon(v, false)
-	n.viewers = slices.DeleteFunc(n.viewers, func(o *viewer) bool { return o == v })
+	n.clients = slices.DeleteFunc(n.clients, func(o *client) bool { return o == v })
 	for _, b := range v.unsure(n.now, v.written) {
 		n.release(nil, b)
 	}
 	for _, s := range slices.Clone(v.held) {
-		s.viewer = nil
+		s.client = nil
 		if s.answered < 0 || s.answered > v.written { // it never got its answer: nobody plays there
-			n.viewerLeft(s)
+			n.clientLeft(s)
 		}
 	}
 }
 
-// heardViewer takes one message of a viewer's.
-func (n *Node) heardViewer(v *viewer, m *rtsp.Message, at float64) {
+// heardClient takes one message of a client's.
+func (n *Node) heardClient(v *client, m *rtsp.Message, at float64) {
 	n.traceReceived(v.conn, m)
 	if v.closed || v.isEnding() {
 		n.log.Debug("said on a connection that has ended", str("from", v.peer()), str("method", m.Method), str("sess", m.Session()))
@@ -250,7 +250,7 @@
 }
 
 // refuseWrong refuses a request that makes no sense, and closes connections that send many.
-func (n *Node) refuseWrong(v *viewer, m *rtsp.Message, status int) {
+func (n *Node) refuseWrong(v *client, m *rtsp.Message, status int) {
 	n.wrongs++
 	v.send(response(m, status))
 	if v.Wrong++; v.Senseless() {
@@ -258,7 +258,7 @@
 	}
 }
 
-func (n *Node) setup(v *viewer, m *rtsp.Message, at float64) {
+func (n *Node) setup(v *client, m *rtsp.Message, at float64) {
 	a, err := n.readAsk(m)
 	if err != nil {
 		n.log.Debug("refused a SETUP", str("why", err.Error()))
@@ -270,9 +270,9 @@
 		n.handed(v, a)
 		return
 	}
-	if old := n.sess[a.id]; old != nil {
+	if old := n.sessions[a.id]; old != nil {
 		// Two requests under one id: answers are matched by it, so on one connection both get the one.
-		if old.viewer == v && old.state != standing {
+		if old.client == v && old.state != established {
 			n.guard.Answer(n.now, old.id, invariant.Failed)
 			n.giveUp(old)
 		}
@@ -289,8 +289,8 @@
 }
 
 // withdrawn takes a TEARDOWN: a SETUP is given up, or a session that stands is over, from any connection.
-func (n *Node) withdrawn(v *viewer, m *rtsp.Message) {
-	s := n.sess[m.Session()]
+func (n *Node) withdrawn(v *client, m *rtsp.Message) {
+	s := n.sessions[m.Session()]
 	if s == nil {
 		if !validID(m.Session()) {
 			n.refuseWrong(v, m, rtsp.BadRequest)
@@ -299,13 +299,13 @@
 		v.send(response(m, rtsp.OK))
 		return
 	}
-	if s.state != standing {
-		if s.viewer == v {
+	if s.state != established {
+		if s.client == v {
 			n.giveUp(s)
 			v.send(response(m, rtsp.OK))
 		}
 		return
 	}
-	n.viewerLeft(s)
+	n.clientLeft(s)
 	v.send(response(m, rtsp.OK))
 }
--- a/internal/node/close.go
+++ b/internal/node/close.go
@@ -13,7 +13,7 @@
 
 // closeUnused closes a client's connection on which nothing is open, once its reader has handed over what it has: a request
 // among that keeps the connection.
-func (n *Node) closeUnused(v *viewer, why closeReason) {
+func (n *Node) closeUnused(v *client, why closeReason) {
 	if v.stopping != "" || v.closed || v.isEnding() {
 		return
 	}
@@ -23,7 +23,7 @@
 }
 
 // readerStopped takes it that a connection's reader has handed over all that it read; partial tells that a message had begun.
-func (n *Node) readerStopped(v *viewer, partial bool) {
+func (n *Node) readerStopped(v *client, partial bool) {
 	switch {
 	case v.closed:
 	case n.over:
@@ -42,7 +42,7 @@
 }
 
 // closeClient closes a client's connection once what is queued on it was written.
-func (n *Node) closeClient(v *viewer, why closeReason) {
+func (n *Node) closeClient(v *client, why closeReason) {
 	n.guard.Close(v.peer(), v.Open, v.stopped)
 	v.stopping = why
 	n.counts["closed: "+string(why)]++
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -15,7 +15,7 @@
 
 const (
 	// mostQueued is how many bytes wait for a peer that does not read; then its connection is closed. A dead server with a
-	// thousand sessions has as many releases of some 130 bytes queued at once for a few viewers. Usual messages
+	// thousand sessions has as many releases of some 130 bytes queued at once for a few clients. Usual messages
 	// have some 200 bytes.
 	mostQueued = 256 << 10
 	// mostKept is how many messages are kept in case the connection ends: as many releases as may wait for a peer that does
@@ -82,7 +82,7 @@
 }
 
 // sendNow is send that does not leave the bytes to the writer's next turn: where nothing is before them they are written at
-// once, as many as the peer's window takes. Against sessions that their viewers end at the server in the instant of the
+// once, as many as the peer's window takes. Against sessions that their clients end at the server in the instant of the
 // answer: a platform that loses sight of the request then has one unanswered the oftener the later the answer leaves.
 // Harm: a write a message, and its time in the loop; so for good answers only.
 func (c *conn) sendNow(b []byte) (from, to int64) {
--- a/internal/node/conn_test.go
+++ b/internal/node/conn_test.go
@@ -69,7 +69,7 @@
 	return a, b
 }
 
-// An answer leaves at once, whether or not the writer has had its turn: a session may be ended by its viewer meanwhile, and
+// An answer leaves at once, whether or not the writer has had its turn: a session may be ended by its client meanwhile, and
 // the request passes for unanswered.
 func TestAnswerLeavesBeforeTheWritersTurn(t *testing.T) {
 	a, b := tcpPair(t)
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -65,7 +65,7 @@
 	f.see(func(n *Node) { n.closedServer(l, l.close(), errors.New("broken")) })
 }
 
-// request is a viewer's whole SETUP, with its patience in milliseconds.
+// request is a client's whole SETUP, with its patience in milliseconds.
 func request(k, patience int) string {
 	return fmt.Sprintf("SETUP rtsp://media/t1 RTSP/1.0\r\nCSeq: 1\r\nSession: %s\r\nSubject: paid\r\nX-Patience: %d\r\nX-Facts: home:0;copies:4;top:4\r\nContent-Length: %d\r\n\r\n%s",
 		id(k), patience, len(sdp), sdp)
@@ -105,7 +105,7 @@
 // may have run are torn down, the others busy-replied. Without finish both connections just closed.
 func TestEndAnswersWhatIsOpen(t *testing.T) {
 	f, s1 := single(t, 256)
-	v, w := f.viewer(), f.viewer()
+	v, w := f.client(), f.client()
 	v.setup(id(1), "paid", "")
 	f.wanted(rtsp.Setup, s1)
 	f.see(func(n *Node) { // the next SETUP waits for a connection
@@ -143,11 +143,11 @@
 		}
 		return []*host{s1}
 	})
-	v := f.viewer()
-	w = f.viewer()
+	v := f.client()
+	w = f.client()
 	v.setup(id(1), "paid", "")
 	f.wanted(rtsp.Setup, s1)
-	f.until("both connections are known", func(n *Node) bool { return len(n.viewers) == 2 })
+	f.until("both connections are known", func(n *Node) bool { return len(n.clients) == 2 })
 	f.terminate()
 	f.ends <- syscall.SIGTERM // and nothing of the test's own in the queue
 	w.want("503")
@@ -172,7 +172,7 @@
 	c.close()
 }
 
-// A release is written to a viewer's connection that is just closing: it goes over another one. It was lost.
+// A release is written to a client's connection that is just closing: it goes over another one. It was lost.
 func TestReleaseCrossesAClose(t *testing.T) {
 	f, s1 := single(t, 256)
 	c, err := net.Dial("tcp", f.addr)
@@ -183,12 +183,12 @@
 	c.Write([]byte(request(1, 1500)))
 	x, _ := f.wanted(rtsp.Setup, s1)
 	x.on.answer(x.m, 200, given)
-	f.until("it stands", func(n *Node) bool { s := n.sess[id(1)]; return s != nil && s.state == standing })
-	w := f.viewer()
+	f.until("it stands", func(n *Node) bool { s := n.sessions[id(1)]; return s != nil && s.state == established })
+	w := f.client()
 	w.setup(id(2), "free", "")
 	f.serve(s1, w)
-	f.held(func() { x.on.tearDown(id(1), 16) }) // and its viewer, which reads nothing, goes
-	f.until("it is released", func(n *Node) bool { return n.sess[id(1)] == nil })
+	f.held(func() { x.on.tearDown(id(1), 16) }) // and its client, which reads nothing, goes
+	f.until("it is released", func(n *Node) bool { return n.sessions[id(1)] == nil })
 	c.(*net.TCPConn).SetLinger(0)
 	c.Close()
 	if r := w.want(rtsp.TearDown); r.Session() != id(1) {
@@ -196,17 +196,17 @@
 	}
 }
 
-// A handed session is released by its viewer before a connection to its server was opened: its server hears of it all the
+// A handed session is released by its client before a connection to its server was opened: its server hears of it all the
 // same. It was told nobody, and the session played on.
 func TestReleaseBeforeAConnection(t *testing.T) {
 	f, s1 := single(t, 256)
-	v := f.viewer()
+	v := f.client()
 	f.held(func() { v.setup(id(1), "free", ";at:s-1") }, func() { v.tearDown(id(1), 0) })
 	if x, _ := f.wanted(rtsp.TearDown, s1); x.m.Session() != id(1) || cause(x.m) != causeMoved {
 		t.Errorf("released %+v", x.m.Header)
 	}
 	v.want("200")
-	f.until("nothing is owed", func(n *Node) bool { return len(n.servers[0].owed) == 0 && len(n.sess) == 0 })
+	f.until("nothing is owed", func(n *Node) bool { return len(n.servers[0].owed) == 0 && len(n.sessions) == 0 })
 }
 
 // A drain is told after a SETUP was queued; its connection breaks before a byte of it left: it is not sent anew. It was
@@ -215,7 +215,7 @@
 	f, s1 := single(t, 256)
 	feed := f.followed()
 	l := f.dam()
-	v := f.viewer()
+	v := f.client()
 	v.setup(id(1), "paid", "")
 	f.until("it is queued", func(*Node) bool { return len(l.open) == 1 })
 	fmt.Fprintf(feed, "%s\n", change(2, false, entry("s-1", s1.Addr().String(), "draining")))
@@ -229,7 +229,7 @@
 func TestSetupIsSentAnewOnce(t *testing.T) {
 	f, s1 := single(t, 256)
 	dams := []*link{f.dam(), f.dam(), f.dam()}
-	v := f.viewer()
+	v := f.client()
 	v.setup(id(1), "paid", "")
 	for range 2 {
 		var l *link
@@ -246,14 +246,14 @@
 	f.none(s1)
 }
 
-// A viewer goes in the instant in which its SETUP is refused, before or after: there is no second SETUP.
-func TestViewerGoneBetweenTwoSetups(t *testing.T) {
+// A client goes in the instant in which its SETUP is refused, before or after: there is no second SETUP.
+func TestClientGoneBetweenTwoSetups(t *testing.T) {
 	for name, gone := range map[string]func(v *peer){"closes": func(v *peer) { v.Close() }, "cancels": func(v *peer) { v.tearDown(id(1), 0) }} {
 		for _, first := range []string{"refused first", "gone first"} {
 			t.Run(name+", "+first, func(t *testing.T) {
 				var s [2]*host
 				f := newFarm(t, 256, func(f *farm) []*host { s = [2]*host{f.host("s-1"), f.host("s-2")}; return s[:] })
-				v := f.viewer()
+				v := f.client()
 				v.setup(id(1), "free", "")
 				x, h := f.wanted(rtsp.Setup, s[:]...)
 				steps := []func(){func() { x.on.answer(x.m, 453, "") }, func() { gone(v) }}
@@ -261,12 +261,12 @@
 					slices.Reverse(steps)
 				}
 				f.held(steps...)
-				f.until("forgotten", func(n *Node) bool { return len(n.sess) == 0 && n.open == 0 })
-				w := f.viewer() // what comes next at the other server is another's
+				f.until("forgotten", func(n *Node) bool { return len(n.sessions) == 0 && n.open == 0 })
+				w := f.client() // what comes next at the other server is another's
 				w.setup(id(2), "free", "")
 				y, at := f.wantedSetup(s[:]...)
 				if y.m.Session() != id(2) {
-					t.Errorf("%s got %s after its viewer had gone", at.name, y.m.Session())
+					t.Errorf("%s got %s after its client had gone", at.name, y.m.Session())
 				}
 				y.on.answer(y.m, 200, given)
 				w.want("200")
@@ -302,7 +302,7 @@
 		l = &link{sv: n.servers[0], stop: func() {}}
 		n.servers[0].conns = []*link{l}
 	})
-	v := f.viewer()
+	v := f.client()
 	v.setup(id(1), "paid", "")
 	f.until("it waits", func(*Node) bool { return len(l.open) == 1 })
 	v.Close()
@@ -314,23 +314,23 @@
 	defer nc.Close()
 	f.see(func(n *Node) { l.conn = newConn(nc, zap.NewNop()); n.openedServer(l) })
 	t.Cleanup(func() { l.close() })
-	w := f.viewer()
+	w := f.client()
 	w.setup(id(2), "free", "")
 	if x, _ := f.wanted(rtsp.Setup, s1); x.m.Session() != id(2) {
 		t.Errorf("a SETUP for %s", x.m.Session())
 	}
 }
 
-// SETUPs wait behind a server that reads nothing, one in its writer's hands and one behind it, when their viewers go: neither
+// SETUPs wait behind a server that reads nothing, one in its writer's hands and one behind it, when their clients go: neither
 // leaves, though it reads again. They left as soon as it did.
-func TestViewerGoneBeforeTheSetupLeft(t *testing.T) {
+func TestClientGoneBeforeTheSetupLeft(t *testing.T) {
 	f, s1 := single(t, 3) // one connection to the server
 	a, b := net.Pipe()
 	defer b.Close()
 	l := f.link(a)
 	var v [3]*peer
 	for k := range v {
-		v[k] = f.viewer()
+		v[k] = f.client()
 		v[k].setup(id(k), "free", "")
 		f.until("it is queued", func(*Node) bool { return len(l.open) == k+1 })
 	}
@@ -353,13 +353,13 @@
 	}
 }
 
-// The answer and the viewer's TEARDOWN, or the answer and the time-out, come in one batch, either first: the viewer gets one
+// The answer and the client's TEARDOWN, or the answer and the time-out, come in one batch, either first: the client gets one
 // answer at most, and what stands at the server unwanted is released there.
 func TestAnswerCrosses(t *testing.T) {
 	for _, answerFirst := range []bool{true, false} {
 		t.Run(fmt.Sprintf("a TEARDOWN, answer first %v", answerFirst), func(t *testing.T) {
 			f, s1 := single(t, 256)
-			v := f.viewer()
+			v := f.client()
 			v.setup(id(1), "paid", "")
 			x, _ := f.wanted(rtsp.Setup, s1)
 			steps := []func(){func() { x.on.answer(x.m, 200, given) }, func() { v.tearDown(id(1), 0) }}
@@ -379,17 +379,17 @@
 			if seen > 1 || seen == 1 && !answerFirst {
 				t.Errorf("%d answers", seen)
 			}
-			f.until("forgotten", func(n *Node) bool { return len(n.sess) == 0 && n.open == 0 && len(n.past) == 0 })
+			f.until("forgotten", func(n *Node) bool { return len(n.sessions) == 0 && n.open == 0 && len(n.past) == 0 })
 		})
 		t.Run(fmt.Sprintf("the time-out, answer first %v", answerFirst), func(t *testing.T) {
 			f, s1 := single(t, 256)
-			v := f.viewer()
+			v := f.client()
 			v.setup(id(1), "paid", "")
 			x, _ := f.wanted(rtsp.Setup, s1)
 			timeOut := func() {
-				s := f.node.sess[id(1)] // the loop is blocked
+				s := f.node.sessions[id(1)] // the loop is blocked
 				f.node.events <- event{do: func() {
-					if s.state == out {
+					if s.state == attempting {
 						f.node.cancel(s.waiting)
 						f.node.timedOut(s)
 					}
@@ -421,7 +421,7 @@
 // A server with all the connections that it takes refuses one more: what stands there goes on. It was released as lost.
 func TestRefusedBesideALiveConnection(t *testing.T) {
 	f, s1 := single(t, 256)
-	v := f.viewer()
+	v := f.client()
 	v.setup(id(1), "paid", "")
 	x := f.serve(s1, v)
 	s1.Listener.Close()
@@ -444,7 +444,7 @@
 func TestServerStartedAnew(t *testing.T) {
 	f, s1 := single(t, 256)
 	feed := f.followed()
-	v := f.viewer()
+	v := f.client()
 	v.setup(id(1), "free", "")
 	f.serve(s1, v)
 	anew := strings.Replace(entry("s-1", s1.Addr().String(), "up"), `"startedAtMs":0`, fmt.Sprintf(`"startedAtMs":%d`, time.Now().UnixMilli()+1), 1)
@@ -452,13 +452,13 @@
 	if r := v.want(rtsp.TearDown); cause(r) != causeCut || r.Session() != id(1) {
 		t.Errorf("released %+v", r.Header)
 	}
-	f.until("forgotten", func(n *Node) bool { return len(n.sess) == 0 && len(n.servers[0].held) == 0 })
+	f.until("forgotten", func(n *Node) bool { return len(n.sessions) == 0 && len(n.servers[0].held) == 0 })
 }
 
 // A message that never ends stands behind a request that is open: that one is answered. Its connection was just closed.
 func TestHalfAMessageBesideAnOpenRequest(t *testing.T) {
 	f, s1 := single(t, 256)
-	v := f.viewer()
+	v := f.client()
 	v.say("%s", request(1, 4000)) // longer than half a message is waited for
 	f.wanted(rtsp.Setup, s1)
 	v.say("%s", request(2, 4000)[:50])
@@ -469,25 +469,25 @@
 	f.wanted(rtsp.TearDown, s1)
 }
 
-// The server's answer finds its viewer's connection broken, of which the loop has not heard yet: nobody plays there, and the
+// The server's answer finds its client's connection broken, of which the loop has not heard yet: nobody plays there, and the
 // server is told. It played on for nobody.
 func TestAnswerCrossesAClose(t *testing.T) {
 	f, s1 := single(t, 256)
-	v := f.viewer()
+	v := f.client()
 	v.setup(id(1), "free", "")
 	x, _ := f.wanted(rtsp.Setup, s1)
-	f.held(func() { x.on.answer(x.m, 200, given) }, func() { f.node.viewers[0].cut() })
+	f.held(func() { x.on.answer(x.m, 200, given) }, func() { f.node.clients[0].cut() })
 	if y, _ := f.wanted(rtsp.TearDown, s1); y.m.Session() != id(1) {
 		t.Errorf("released %s", y.m.Session())
 	}
-	f.until("forgotten", func(n *Node) bool { return len(n.sess) == 0 && len(n.viewers) == 0 })
+	f.until("forgotten", func(n *Node) bool { return len(n.sessions) == 0 && len(n.clients) == 0 })
 }
 
 // Requests come in pieces: by the byte, two in one segment, and a piece before a close.
 func TestRequestsInPieces(t *testing.T) {
 	f, s1 := single(t, 256)
 	text := func(k int) string { return request(k, 1500) }
-	v := f.viewer()
+	v := f.client()
 	v.Conn.(*net.TCPConn).SetNoDelay(true)
 	for _, b := range []byte(text(1)) {
 		v.Write([]byte{b})
@@ -509,7 +509,7 @@
 	v.want("200")
 	v.say("%s", text(4)[:50])
 	v.Close()
-	f.until("it is gone", func(n *Node) bool { return len(n.viewers) == 0 && n.open == 0 && n.sess[id(4)] == nil })
+	f.until("it is gone", func(n *Node) bool { return len(n.clients) == 0 && n.open == 0 && n.sessions[id(4)] == nil })
 }
 
 // SIGHUP with the coordinator unchanged: its connection stays. It was opened anew, which is priced at hundreds of nodes.
@@ -553,7 +553,7 @@
 	f.until("all is heard", func(n *Node) bool { return n.index == 3 && n.servers[0].state == choice.Draining })
 }
 
-// Many servers and hundreds of silent viewers on few descriptors, while discovery is down: a tenth of them stays free, idle
+// Many servers and hundreds of silent clients on few descriptors, while discovery is down: a tenth of them stays free, idle
 // connections to servers give way, and the node follows the coordinator as soon as it is back.
 func TestDescriptorsInReserve(t *testing.T) {
 	const sockets = 64
@@ -565,7 +565,7 @@
 	})
 	f.followed().Close()
 	for range 100 { // tests keep them from counting as silent
-		v := f.viewer()
+		v := f.client()
 		v.say("OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n")
 	}
 	for k := range 60 {
@@ -578,7 +578,7 @@
 		if n.links() > share.Servers(sockets) {
 			t.Errorf("%d connections to servers", n.links())
 		}
-		return len(n.viewers)+n.links() <= sockets*90/100 && len(n.servers[59].conns) == 1
+		return len(n.clients)+n.links() <= sockets*90/100 && len(n.servers[59].conns) == 1
 	})
 	f.followed()
 }
@@ -586,10 +586,10 @@
 // Two nodes one after the other at one address, and a third beside them, each with its own settings: none knows another's.
 func TestNodesShareNothing(t *testing.T) {
 	f, s1 := single(t, 256)
-	v := f.viewer()
+	v := f.client()
 	v.setup(id(1), "free", "")
 	f.serve(s1, v)
-	f.stop() // its viewer's connection lingers
+	f.stop() // its client's connection lingers
 	text := strings.NewReplacer(`"free"`, `"gratis"`, `"listen":"127.0.0.1:0"`, fmt.Sprintf(`"listen":%q`, f.addr), `"class_floor":[0,1]`, `"class_floor":[2,1]`).
 		Replace(f.config(256, 1, change(1, true, entry("s-1", s1.Addr().String(), "up"))))
 	s, err := start.Parse([]byte(text))
@@ -612,7 +612,7 @@
 		t.Fatal("it does not start")
 	}
 	t.Cleanup(next.stop)
-	w, u := next.viewer(), other.viewer()
+	w, u := next.client(), other.client()
 	w.setup(id(1), "free", "")
 	w.want("400")
 	u.setup(id(1), "gratis", "")
--- a/internal/node/ending_test.go
+++ b/internal/node/ending_test.go
@@ -30,7 +30,7 @@
 				s1, s2 = f.host("s-1"), f.host("s-2")
 				return []*host{s1, s2}
 			})
-			v := f.viewer()
+			v := f.client()
 			v.setup(id(1), c.class, "")
 			x, h := f.wanted(rtsp.Setup, s1, s2)
 			x.on.tearDown(id(1), c.cause)
@@ -47,7 +47,7 @@
 				other = s2
 			}
 			f.none(other)
-			f.until("nothing is left of it", func(n *Node) bool { return len(n.sess) == 0 && n.open == 0 })
+			f.until("nothing is left of it", func(n *Node) bool { return len(n.sessions) == 0 && n.open == 0 })
 			v.say("OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n")
 			v.want("200") // and nothing of the session's before it
 		})
@@ -58,12 +58,12 @@
 // of the two the loop hears of first.
 func TestRequestReadAsItsConnectionIsClosed(t *testing.T) {
 	f, s1 := single(t, 256)
-	v := f.viewer()
+	v := f.client()
 	v.say("OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n")
 	v.want("200")
 	f.held(
 		func() { v.setup(id(1), "free", "") },
-		func() { f.node.viewers[0].Used = -100; f.node.sweep(); f.node.events <- event{do: func() {}} },
+		func() { f.node.clients[0].Used = -100; f.node.sweep(); f.node.events <- event{do: func() {}} },
 	)
 	x, _ := f.wanted(rtsp.Setup, s1)
 	x.on.answer(x.m, 200, given)
@@ -89,8 +89,8 @@
 		}
 		return []*host{f.host("s-1")}
 	})
-	clients = []*peer{f.viewer(), f.viewer()}
-	f.until("both connections are known", func(n *Node) bool { return len(n.viewers) == 2 })
+	clients = []*peer{f.client(), f.client()}
+	f.until("both connections are known", func(n *Node) bool { return len(n.clients) == 2 })
 	f.terminate()
 	f.ends <- syscall.SIGTERM
 	f.over <- <-f.over
--- a/internal/node/exit.go
+++ b/internal/node/exit.go
@@ -24,7 +24,7 @@
 	n.front.At(n.now)
 	n.front.Stop()
 	n.serveUntil(flush, func() bool { n.answerOpen(); return n.flushed() && len(n.events) == 0 && n.accepted() })
-	for _, v := range n.viewers {
+	for _, v := range n.clients {
 		v.stop(true)
 	}
 	n.serveUntil(stopReading, func() bool { n.answerOpen(); return n.readersStopped() && len(n.events) == 0 })
@@ -61,13 +61,13 @@
 		return
 	}
 	n.tick()
-	var open []*sess
-	for _, s := range n.sess {
-		if s.state == out {
+	var open []*session
+	for _, s := range n.sessions {
+		if s.state == attempting {
 			open = append(open, s)
 		}
 	}
-	slices.SortFunc(open, func(a, b *sess) int { return strings.Compare(a.id, b.id) })
+	slices.SortFunc(open, func(a, b *session) int { return strings.Compare(a.id, b.id) })
 	for _, s := range open {
 		n.timedOut(s)
 	}
@@ -86,21 +86,21 @@
 
 // flushed tells whether all that was queued for clients has been written.
 func (n *Node) flushed() bool {
-	return !slices.ContainsFunc(n.viewers, func(v *viewer) bool { return !v.isFlushed() })
+	return !slices.ContainsFunc(n.clients, func(v *client) bool { return !v.isFlushed() })
 }
 
 func (n *Node) readersStopped() bool {
-	return !slices.ContainsFunc(n.viewers, func(v *viewer) bool { return !v.stopped })
+	return !slices.ContainsFunc(n.clients, func(v *client) bool { return !v.stopped })
 }
 
 // closeAll closes the clients' connections once what is queued on them was written.
 func (n *Node) closeAll() {
-	for _, v := range n.viewers {
+	for _, v := range n.clients {
 		n.guard.Close(v.peer(), v.Open, v.stopped)
 		v.end()
 	}
 	late := time.After(forceClose)
-	for _, v := range n.viewers {
+	for _, v := range n.clients {
 		select {
 		case <-v.ended:
 		case <-late:
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -31,7 +31,7 @@
 }
 
 // refuse writes the final answer that refuses an open request, unless it has had one.
-func (n *Node) refuse(v *viewer, id string, status int, comeBack float64) {
+func (n *Node) refuse(v *client, id string, status int, comeBack float64) {
 	if !n.guard.Answer(n.now, id, refusalKind(status)) || v == nil || n.spoils(SabotageAnswer, id) {
 		return
 	}
--- a/internal/node/message.go
+++ b/internal/node/message.go
@@ -27,7 +27,7 @@
 	root = "rtsp://media/"
 
 	causeOver  = 16 // it has come to its end
-	causeMoved = 31 // ended by its viewer, or moved
+	causeMoved = 31 // ended by its client, or moved
 	causeCut   = 41
 
 	seqSetup, seqTearDown, seqOptions = "1", "2", "3"
@@ -36,7 +36,7 @@
 // noteKinds are the kinds of a server's notes by their names.
 var noteKinds = map[string]wire.Kind{"served": wire.Note(1), "at_rung": wire.Note(2), "link_use": wire.Note(3), "rack_use": wire.Note(4)}
 
-// ask is what a viewer's SETUP says.
+// ask is what a client's SETUP says.
 type ask struct {
 	id, class, url string
 	group          int
@@ -62,7 +62,7 @@
 // mostPatience is past any setup timeout; against figures that are out of range.
 const mostPatience = 600_000
 
-// readAsk reads a viewer's SETUP; what is wrong with it is an error.
+// readAsk reads a client's SETUP; what is wrong with it is an error.
 func (n *Node) readAsk(m *rtsp.Message) (a ask, err error) {
 	// What is kept must not keep a line of 4 kB alive.
 	a = ask{id: strings.Clone(m.Session()), class: m.Header.Get(fieldClass), url: strings.Clone(m.URL), body: m.Body}
@@ -184,7 +184,7 @@
 	return m.Append(nil)
 }
 
-func setup(s *sess, wait float64) []byte {
+func setup(s *session, wait float64) []byte {
 	m := message(rtsp.Request(rtsp.Setup, s.url), seqSetup, s.id)
 	m.With(fieldClass, s.class)
 	m.With(fieldWait, strconv.Itoa(max(int(math.Ceil(wait*1000)), 1)))
@@ -193,7 +193,7 @@
 	return m.Append(nil)
 }
 
-func newRung(s *sess) []byte {
+func newRung(s *session) []byte {
 	return message(rtsp.Request(rtsp.SetParameter, s.url), "4", s.id).With(fieldRung, strconv.Itoa(s.rung)).Append(nil)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,4 +1,4 @@
-// Package node is the platform's front node: it carries out the module's decisions on the platform's protocol, viewers
+// Package node is the platform's front node: it carries out the module's decisions on the platform's protocol, clients
 // on one side, servers and the coordinator on the other.
 //
 // One goroutine owns the module and all tables; others read, write and dial, and hand it what happened over one bounded
@@ -27,27 +27,27 @@
 	"rainhaven/internal/wire"
 )
 
-// state is where a session stands between its viewer and its server.
+// state is where a session stands between its client and its server.
 type state int
 
 const (
-	asked    state = iota // the module holds it; an answer is owed
-	out                   // a SETUP is out at a server, or waits for its connection; an answer is owed
-	standing              // answered; its release is owed
+	pending     state = iota // the module holds it; an answer is owed
+	attempting               // a SETUP is out at a server, or waits for its connection; an answer is owed
+	established              // answered; its release is owed
 )
 
-// sess is a session from its SETUP to its end.
-type sess struct {
+// session is one from its SETUP to its end.
+type session struct {
 	ask
 	state    state
-	viewer   *viewer // nil once its connection is gone
+	client   *client // nil once its connection is gone
 	server   *server // of the SETUP that is out, or where it stands
 	on       *link   // of the SETUP that is out
 	from, to int64   // where on it the SETUP begins and ends; below 0 where it is not written
 	until    float64 // the SETUP is waited for
-	waiting  *alarm
+	waiting  *timeout
 	rung     int
-	answered int64    // where the answer ends on the viewer's connection
+	answered int64    // where the answer ends on the client's connection
 	resent   int      // how often its SETUP, of which nothing had left, went over a new connection
 	since    float64  // when it was answered, or handed over
 	release  *release // its server's release, where that came before its answer
@@ -78,17 +78,17 @@
 	ready    bool
 	over     bool
 
-	sess      map[string]*sess            // emptied by final answers and ends
+	sessions  map[string]*session         // emptied by final answers and ends
 	servers   []*server                   // in the order of the list; emptied by settleServer
 	numbers   map[choice.ServerID]*server // the same
 	byID      map[string]*server          // the same
-	past      map[string]*server          // SETUPs given up, whose answer may still come; emptied by their alarms
-	early     map[string]bool             // releases of sessions not known (yet); emptied by their alarms
-	owed      []owed                      // releases without a viewer's connection; emptied by time
-	viewers   []*viewer
+	past      map[string]*server          // SETUPs given up, whose answer may still come; emptied by their timeouts
+	early     map[string]bool             // releases of sessions not known (yet); emptied by their timeouts
+	owed      []owed                      // releases without a client's connection; emptied by time
+	clients   []*client
 	accepting chan struct{} // closed once no further connection is accepted
 	open      int           // requests without their answers
-	alarms    alarms
+	timeouts  timeouts
 	later     []wire.Event // for the next batch
 	watches   []*watch     // of the coordinators followed, newest last; emptied by the newest one's first word
 	index     int64        // the coordinator's last event
@@ -110,9 +110,9 @@
 	keepPast = 10.0
 	// mostPast is how many of each are kept; past it they are just dropped.
 	mostPast = 2048
-	// keepOwed is how long a release waits for a viewer's connection: it is owed within 8 s.
+	// keepOwed is how long a release waits for a client's connection: it is owed within 8 s.
 	keepOwed = 8.0
-	// pace is how often servers are looked after and viewers' connections swept.
+	// pace is how often servers are looked after and clients' connections swept.
 	pace = 0.1
 	// queue is how many events may wait for the loop; readers wait beyond.
 	queue = 256
@@ -152,7 +152,7 @@
 func Run(o Options) (lifecycle.Code, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{start: o.Start, reread: o.Reread, log: o.Log, ctx: ctx, events: make(chan event, queue), began: time.Now(),
-		sess: map[string]*sess{}, numbers: map[choice.ServerID]*server{}, byID: map[string]*server{}, past: map[string]*server{}, early: map[string]bool{},
+		sessions: map[string]*session{}, numbers: map[choice.ServerID]*server{}, byID: map[string]*server{}, past: map[string]*server{}, early: map[string]bool{},
 		counts: map[string]int{}, network: o.Network, sabotage: o.Sabotage}
 	if n.network == nil {
 		n.network = systemNetwork{}
@@ -219,8 +219,8 @@
 		if n.due > 0 {
 			next = min(next, n.due)
 		}
-		if len(n.alarms) > 0 {
-			next = min(next, n.alarms[0].at)
+		if len(n.timeouts) > 0 {
+			next = min(next, n.timeouts[0].at)
 		}
 		n.tick()
 		timer.Reset(time.Duration(max(next-n.now, 0) * float64(time.Second)))
@@ -248,8 +248,8 @@
 				}
 			}
 		}
-		for len(n.alarms) > 0 && n.alarms[0].at <= n.now {
-			a := heap.Pop(&n.alarms).(*alarm)
+		for len(n.timeouts) > 0 && n.timeouts[0].at <= n.now {
+			a := heap.Pop(&n.timeouts).(*timeout)
 			a.do()
 		}
 		if n.now >= n.looked+pace {
@@ -265,7 +265,7 @@
 		n.settle()
 		n.compare()
 		n.life.At(n.now)
-		if len(n.sess) == 0 {
+		if len(n.sessions) == 0 {
 			n.life.Drained()
 		} else {
 			n.life.Resumed()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -19,7 +19,7 @@
 
 func TestServedAndReleased(t *testing.T) {
 	f, s1 := single(t, 256)
-	v := f.viewer()
+	v := f.client()
 	v.setup(id(1), "paid", "")
 	x, _ := f.wanted(rtsp.Setup, s1)
 	m := x.m
@@ -29,7 +29,7 @@
 	if q := m.Header.Get("X-Quality"); q < "1" || q > "4" {
 		t.Errorf("rung %q under the floor or over the top", q)
 	}
-	if p, _ := strconv.Atoi(m.Header.Get("X-Patience")); p < 500 || p > 1488 { // what the viewer waits, less the margin and what has gone by
+	if p, _ := strconv.Atoi(m.Header.Get("X-Patience")); p < 500 || p > 1488 { // what the client waits, less the margin and what has gone by
 		t.Errorf("waits %d ms", p)
 	}
 	x.on.say("RTSP/1.0 100 Trying\r\nCSeq: 1\r\nSession: %s\r\nContent-Length: 0\r\n\r\n", id(1))
@@ -38,7 +38,7 @@
 		t.Errorf("answered %+v %q", a.Header, a.Body)
 	}
 	f.see(func(n *Node) {
-		if s := n.sess[id(1)]; s == nil || s.state != standing || n.open != 0 || len(n.servers[0].held) != 1 {
+		if s := n.sessions[id(1)]; s == nil || s.state != established || n.open != 0 || len(n.servers[0].held) != 1 {
 			t.Error("it does not stand")
 		}
 	})
@@ -57,11 +57,11 @@
 		t.Errorf("cut with %+v", y.m.Header)
 	}
 	f.until("all is forgotten", func(n *Node) bool {
-		return len(n.sess) == 0 && n.open == 0 && len(n.servers[0].held) == 0
+		return len(n.sessions) == 0 && n.open == 0 && len(n.servers[0].held) == 0
 	})
 }
 
-// What each outcome of a first SETUP brings about: whether it is repeated elsewhere, and what the viewer is told.
+// What each outcome of a first SETUP brings about: whether it is repeated elsewhere, and what the client is told.
 func TestOutcomes(t *testing.T) {
 	for name, c := range map[string]struct {
 		class, want string
@@ -103,7 +103,7 @@
 		t.Run(name, func(t *testing.T) {
 			var s [2]*host
 			f := newFarm(t, 256, func(f *farm) []*host { s = [2]*host{f.host("s-1"), f.host("s-2")}; return s[:] })
-			v := f.viewer()
+			v := f.client()
 			v.setup(id(1), c.class, "")
 			x, h := f.wanted(rtsp.Setup, s[0], s[1])
 			c.do(x, h)
@@ -132,7 +132,7 @@
 func TestRefusedConnectionNeverRan(t *testing.T) {
 	f, s1 := single(t, 256)
 	s1.kill()
-	v := f.viewer()
+	v := f.client()
 	v.setup(id(1), "paid", "")
 	v.want("503")
 }
@@ -140,7 +140,7 @@
 // An idle connection that was cut meanwhile: the SETUP that meets it goes over a new one, as not a byte of it left.
 func TestSetupOverACutConnection(t *testing.T) {
 	f, s1 := single(t, 256)
-	v := f.viewer()
+	v := f.client()
 	v.setup(id(1), "paid", "")
 	x := f.serve(s1, v)
 	x.on.Conn.(*net.TCPConn).SetLinger(0)
@@ -160,7 +160,7 @@
 func TestGivenUp(t *testing.T) {
 	t.Run("and answered after", func(t *testing.T) {
 		f, s1 := single(t, 256)
-		v := f.viewer()
+		v := f.client()
 		v.setup(id(1), "free", "")
 		x, _ := f.wanted(rtsp.Setup, s1)
 		v.tearDown(id(1), 0)
@@ -175,28 +175,28 @@
 		if m := v.want("200"); m.CSeq() != 2 {
 			t.Error("an answer that is not owed")
 		}
-		f.until("forgotten", func(n *Node) bool { return len(n.sess) == 0 && len(n.past) == 0 && n.open == 0 })
+		f.until("forgotten", func(n *Node) bool { return len(n.sessions) == 0 && len(n.past) == 0 && n.open == 0 })
 	})
 	t.Run("by closing", func(t *testing.T) {
 		f, s1 := single(t, 256)
-		v := f.viewer()
+		v := f.client()
 		v.setup(id(1), "free", "")
 		f.wanted(rtsp.Setup, s1)
 		v.Close()
 		f.wanted(rtsp.TearDown, s1)
-		f.until("forgotten", func(n *Node) bool { return len(n.sess) == 0 && n.open == 0 && len(n.viewers) == 0 })
+		f.until("forgotten", func(n *Node) bool { return len(n.sessions) == 0 && n.open == 0 && len(n.clients) == 0 })
 	})
 	t.Run("hundreds at once", func(t *testing.T) {
 		f, s1 := single(t, 256)
-		v := f.viewer()
+		v := f.client()
 		for k := range 300 {
 			v.setup(id(k), "free", "")
 		}
 		for k := range 300 {
 			v.tearDown(id(k), 0)
 		}
-		f.until("forgotten", func(n *Node) bool { return n.counts["asked"] > 0 && len(n.sess) == 0 && n.open == 0 })
-		w := f.viewer()
+		f.until("forgotten", func(n *Node) bool { return n.counts["asked"] > 0 && len(n.sessions) == 0 && n.open == 0 })
+		w := f.client()
 		w.setup(id(1000), "free", "")
 		for {
 			x := <-s1.seen
@@ -209,8 +209,8 @@
 	})
 }
 
-// Bad viewers are refused or closed, nothing of theirs is served, and usual ones notice nothing.
-func TestBadViewers(t *testing.T) {
+// Bad clients are refused or closed, nothing of theirs is served, and usual ones notice nothing.
+func TestBadClients(t *testing.T) {
 	head := "SETUP rtsp://media/t1 RTSP/1.0\r\nCSeq: 1\r\nSession: " + id(7) + "\r\nSubject: free\r\n"
 	for name, c := range map[string]struct{ say, want string }{
 		"noise":               {"\x00\x01\x02 nonsense\r\n\r\n", "400"},
@@ -236,11 +236,11 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f, s1 := single(t, 256)
-			v := f.viewer()
+			v := f.client()
 			v.say("%s", c.say)
 			v.want(c.want)
-			f.until("nothing is left of it", func(n *Node) bool { return len(n.sess) == 0 && n.open == 0 })
-			w := f.viewer()
+			f.until("nothing is left of it", func(n *Node) bool { return len(n.sessions) == 0 && n.open == 0 })
+			w := f.client()
 			w.setup(id(8), "free", "")
 			for x := range s1.seen {
 				if x.m.Session() == id(8) {
@@ -256,7 +256,7 @@
 // Another connection that names an open request's id is refused, and the request goes on.
 func TestAnothersID(t *testing.T) {
 	f, s1 := single(t, 256)
-	v, w := f.viewer(), f.viewer()
+	v, w := f.client(), f.client()
 	v.setup(id(1), "paid", "")
 	x, _ := f.wanted(rtsp.Setup, s1)
 	w.setup(id(1), "paid", "")
@@ -265,18 +265,18 @@
 	v.want("200")
 }
 
-// Hundreds of connections that say nothing give way, and a usual viewer is served beside them.
+// Hundreds of connections that say nothing give way, and a usual client is served beside them.
 func TestSilentConnectionsGiveWay(t *testing.T) {
 	f, s1 := single(t, 256)
-	v := f.viewer()
+	v := f.client()
 	v.setup(id(1), "free", "")
 	x, _ := f.wanted(rtsp.Setup, s1)
 	for range 300 {
-		f.viewer()
+		f.client()
 	}
 	f.until("they are bounded", func(n *Node) bool {
 		open := 0
-		for _, v := range n.viewers {
+		for _, v := range n.clients {
 			if !v.isEnding() {
 				open++
 			}
@@ -285,21 +285,21 @@
 	})
 	x.on.answer(x.m, 200, given)
 	v.want("200")
-	w := f.viewer()
+	w := f.client()
 	w.setup(id(2), "free", "")
 	f.serve(s1, w)
-	f.until("the silent are gone", func(n *Node) bool { return len(n.viewers) == 2 })
+	f.until("the silent are gone", func(n *Node) bool { return len(n.clients) == 2 })
 }
 
-// Connections that only test, and hold every place, give way to a usual viewer's new one, which has said nothing yet.
+// Connections that only test, and hold every place, give way to a usual client's new one, which has said nothing yet.
 func TestNewConnectionIsNotTheOneThatGivesWay(t *testing.T) {
 	f, s1 := single(t, 64)
 	for range share.Viewers(64, 0) + 5 {
-		v := f.viewer()
+		v := f.client()
 		v.say("OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n")
 		v.want("200")
 	}
-	w := f.viewer()
+	w := f.client()
 	f.until("it is taken", func(n *Node) bool { return n.counts["viewers"] == share.Viewers(64, 0)+6 })
 	w.setup(id(1), "free", "")
 	f.serve(s1, w)
@@ -308,7 +308,7 @@
 // Requests past a connection's bound are told at once to come again, which is true: nothing of them ran.
 func TestRequestsPastTheBound(t *testing.T) {
 	f, s1 := single(t, 256)
-	v := f.viewer()
+	v := f.client()
 	for k := range share.Open + 1 {
 		v.setup(id(k), "free", "")
 	}
@@ -327,7 +327,7 @@
 func TestServerLost(t *testing.T) {
 	t.Run("its process dies", func(t *testing.T) {
 		f, s1 := single(t, 256)
-		v := f.viewer()
+		v := f.client()
 		v.setup(id(1), "paid", "")
 		f.serve(s1, v)
 		s1.kill()
@@ -337,7 +337,7 @@
 	})
 	t.Run("it is silent", func(t *testing.T) {
 		f, s1 := single(t, 256)
-		v := f.viewer()
+		v := f.client()
 		v.setup(id(1), "paid", "")
 		f.serve(s1, v)
 		s1.deaf.Store(true) // its connections stay open
@@ -350,11 +350,11 @@
 
 func TestHandedOver(t *testing.T) {
 	f, s1 := single(t, 256)
-	v := f.viewer()
+	v := f.client()
 	v.setup(id(1), "paid", ";at:s-1")
 	v.setup(id(1), "paid", ";at:s-1")
 	v.setup(id(2), "paid", ";at:s-1")
-	f.until("both stand", func(n *Node) bool { return len(n.sess) == 2 && len(n.servers[0].held) == 2 })
+	f.until("both stand", func(n *Node) bool { return len(n.sessions) == 2 && len(n.servers[0].held) == 2 })
 	f.until("a connection is open to hear their releases", func(n *Node) bool {
 		return len(n.servers[0].conns) == 1 && n.servers[0].conns[0].up
 	})
@@ -369,17 +369,17 @@
 		t.Errorf("released %s", r.Session())
 	}
 	f.see(func(n *Node) { // what is kept of it is small
-		if s := n.sess[id(2)]; s == nil || s.body != nil {
+		if s := n.sessions[id(2)]; s == nil || s.body != nil {
 			t.Error("a handed session keeps its description")
 		}
 		n.start.MemoryMB = 0
 	})
-	w := f.viewer()
+	w := f.client()
 	for k := range share.Handed(0) + 5 { // claims without end: those past the bound are released at once
 		w.setup(id(100+k), "free", ";at:s-1")
 	}
 	w.want(rtsp.TearDown)
-	f.until("bounded", func(n *Node) bool { return len(n.sess) == share.Handed(0) })
+	f.until("bounded", func(n *Node) bool { return len(n.sessions) == share.Handed(0) })
 	f.see(func(n *Node) { n.start.MemoryMB = 64 })
 	p.tearDown(id(4), 41) // its release comes before it is told
 	f.until("remembered", func(n *Node) bool { return n.early[id(4)] })
@@ -389,17 +389,17 @@
 	}
 }
 
-// A release finds its viewer's connection closed: it goes out on another that served a session.
+// A release finds its client's connection closed: it goes out on another that served a session.
 func TestReleasedOnAnotherConnection(t *testing.T) {
 	f, s1 := single(t, 256)
-	v := f.viewer()
+	v := f.client()
 	v.setup(id(1), "free", "")
 	x := f.serve(s1, v)
 	v.Close()
-	f.until("its connection is gone", func(n *Node) bool { return len(n.viewers) == 0 && len(n.sess) == 1 })
+	f.until("its connection is gone", func(n *Node) bool { return len(n.clients) == 0 && len(n.sessions) == 1 })
 	x.on.tearDown(id(1), 16)
 	f.until("the release is owed", func(n *Node) bool { return len(n.owed) == 1 })
-	w := f.viewer()
+	w := f.client()
 	w.setup(id(2), "free", "")
 	f.serve(s1, w)
 	if r := w.want(rtsp.TearDown); r.Session() != id(1) {
@@ -433,7 +433,7 @@
 	}
 	fmt.Fprintf(c, "%s\n", change(3, false, entry("s-1", s1.Addr().String(), "draining")))
 	state("s-1:2 s-2:1 ")
-	v := f.viewer()
+	v := f.client()
 	v.setup(id(1), "free", "")
 	x, _ := f.wanted(rtsp.Setup, s2)
 	x.on.answer(x.m, 200, given)
@@ -461,7 +461,7 @@
 // A drain that is told while a SETUP waits for its connection: it is never sent.
 func TestDrainBeforeTheSetupLeft(t *testing.T) {
 	f, s1 := single(t, 256)
-	v := f.viewer()
+	v := f.client()
 	f.see(func(n *Node) { // the connection that it takes is still being opened
 		n.servers[0].conns = []*link{{sv: n.servers[0], stop: func() {}}}
 	})
@@ -496,7 +496,7 @@
 
 func TestTerminated(t *testing.T) {
 	f, s1 := single(t, 256)
-	v := f.viewer()
+	v := f.client()
 	ping := func(want string) {
 		t.Helper()
 		v.say("OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n")
@@ -507,7 +507,7 @@
 	drains := 0.0
 	f.until("it drains", func(n *Node) bool { drains = n.now; return !n.ready })
 	ping("503")
-	w := f.viewer() // connections and requests are still taken
+	w := f.client() // connections and requests are still taken
 	w.setup(id(1), "free", "")
 	f.serve(s1, w)
 	// While its session stands the node stays, but SIGKILL, 0.7 s after the longest setup timeout, finds nothing.
@@ -558,7 +558,7 @@
 	c := f.followed()
 	index := 1
 	for round := range 200 {
-		v := f.viewer()
+		v := f.client()
 		for k := range 50 {
 			v.setup(id(round*50+k), "free", "")
 		}
@@ -582,7 +582,7 @@
 				}
 			}
 		})
-		f.until("the round is over", func(n *Node) bool { return len(n.sess) == 0 && n.index == int64(index) && len(n.servers) <= 6 })
+		f.until("the round is over", func(n *Node) bool { return len(n.sessions) == 0 && n.index == int64(index) && len(n.servers) <= 6 })
 		v.Close()
 	}
 	f.until("all is as at the start", func(n *Node) bool {
@@ -590,12 +590,12 @@
 		for _, sv := range n.servers {
 			conns += len(sv.conns)
 		}
-		return len(n.servers) == 4 && len(n.numbers) == 4 && len(n.viewers) <= 1 && n.open == 0 && conns <= 32 && len(n.owed) == 0 && len(n.counts) < 20
+		return len(n.servers) == 4 && len(n.numbers) == 4 && len(n.clients) <= 1 && n.open == 0 && conns <= 32 && len(n.owed) == 0 && len(n.counts) < 20
 	})
 }
 
-// Whatever a viewer, a server or the coordinator writes, the node stays and its tables hold.
-func FuzzViewer(f *testing.F) {
+// Whatever a client, a server or the coordinator writes, the node stays and its tables hold.
+func FuzzClient(f *testing.F) {
 	f.Add([]byte("SETUP rtsp://media/t1 RTSP/1.0\r\nCSeq: 1\r\nSession: 9b1f03aa5c7e2d41\r\nSubject: paid\r\nX-Patience: 1500\r\nX-Facts: home:0;copies:2;top:1;at:s-1\r\n\r\n"))
 	f.Add([]byte("TEARDOWN rtsp://media/ RTSP/1.0\r\nSession: x\r\nReason: cause=999999999999999999999\r\n\r\n"))
 	s, err := start.Parse([]byte(fmt.Sprintf(`{"listen":"127.0.0.1:0","coordinator":"127.0.0.1:1","seed":"1","settings":%s}`, fmt.Sprintf(terms, false))))
--- /dev/null
+++ b/internal/node/probe.go
@@ -0,0 +1,120 @@
+package node
+
+import (
+	"slices"
+
+	"rainhaven/choice"
+	"rainhaven/choice/limits"
+	"rainhaven/choice/liveness"
+	"rainhaven/choice/share"
+	"rainhaven/internal/wire"
+)
+
+func (n *Node) probe(sv *server) {
+	if sv.tested != "" {
+		return
+	}
+	sv.tests++
+	n.tests++
+	sv.tested = testID(n.start.Figures.Seed, n.tests)
+	sv.testing = n.after(limits.Usual.ProbeTimeout, func() { n.tellTest(sv, choice.TimedOut, noReport) })
+	for _, l := range sv.conns {
+		if l.up && !l.isEnding() && (sv.testOn == nil || len(l.open) < len(sv.testOn.open)) {
+			sv.testOn = l
+		}
+	}
+	if sv.testOn != nil {
+		n.sendTest(sv.testOn)
+		return
+	}
+	for _, l := range sv.conns {
+		if !l.up {
+			sv.testOn = l
+		}
+	}
+	if sv.testOn == nil {
+		sv.testOn = n.dial(sv)
+	}
+	if sv.testOn == nil { // no descriptor is left: its time-out ends the test
+		return
+	}
+	sv.testOn.test = true
+}
+
+func (n *Node) sendTest(l *link) {
+	if l.sv.testOn == l && l.sv.tested != "" {
+		l.send(test(l.sv.tested))
+		l.used = n.now
+	}
+}
+
+func (n *Node) failTest(l *link, o choice.Outcome) {
+	if l.sv.testOn == l && l.sv.tested != "" {
+		n.tellTest(l.sv, o, noReport)
+	}
+}
+
+func (n *Node) tellTest(sv *server, o choice.Outcome, r choice.Report) {
+	if sv.tested == "" {
+		return
+	}
+	on := sv.testOn
+	n.cancel(sv.testing)
+	sv.tested, sv.testOn, sv.testing = "", nil, nil
+	n.feed(wire.Event{Kind: wire.Probed, Server: sv.number, Outcome: o, Report: r})
+	// Without an answer in its time the connection is of no more use; a SETUP on it may still be answered.
+	if o == choice.TimedOut && on != nil && len(on.open) == 0 {
+		n.retire(on)
+	}
+	n.settleServer(sv)
+}
+
+func (n *Node) look() {
+	for _, sv := range slices.Clone(n.servers) {
+		up, opening := 0, false
+		for _, l := range slices.Clone(sv.conns) {
+			if l.up && len(l.open) == 0 && sv.testOn != l && share.Stale(n.now, l.used, n.start.Idle) {
+				n.retire(l)
+				continue
+			}
+			if l.up {
+				up++
+			} else {
+				opening = true
+			}
+		}
+		sv.owed = slices.DeleteFunc(sv.owed, func(o owed) bool { return n.now >= o.until })
+		if len(sv.held) == 0 && len(sv.owed) == 0 {
+			sv.liveness = liveness.Watch{}
+			n.settleServer(sv)
+			continue
+		}
+		do := sv.liveness.Look(n.now, up, opening)
+		if sv.state == choice.Gone && up == 0 {
+			do = liveness.Do{Lost: true} // its address may be another's by now
+		}
+		switch {
+		case do.Lost:
+			n.lost(sv)
+		case do.Connect:
+			n.dial(sv)
+		case do.Test:
+			n.probe(sv)
+		}
+	}
+}
+
+func (n *Node) lost(sv *server) {
+	n.log.Info("sessions lost with their server", str("server", sv.id), num("sessions", len(sv.held)))
+	for _, s := range slices.Clone(sv.held) {
+		n.say(sv, tearDown(s.url, s.id, causeCut))
+		n.ended(s, choice.Reset, causeCut, noReport)
+	}
+	for _, l := range slices.Clone(sv.conns) {
+		if len(l.open) == 0 {
+			n.retire(l)
+		}
+	}
+	sv.liveness, sv.owed = liveness.Watch{}, nil
+	n.settleServer(sv)
+}
--- a/internal/node/sabotage.go
+++ b/internal/node/sabotage.go
@@ -104,7 +104,7 @@
 }
 
 // copyElsewhere sends a SETUP to a second server as well.
-func (n *Node) copyElsewhere(s *sess) {
+func (n *Node) copyElsewhere(s *session) {
 	paid := n.start.Figures.Groups[s.group].Paid
 	if n.sabotage == SabotageRepeat && !paid || n.sabotage == SabotageOverlap && paid || n.sabotage != SabotageRepeat && n.sabotage != SabotageOverlap {
 		return
@@ -122,7 +122,7 @@
 }
 
 // sendLater sends a SETUP whose client has gone.
-func (n *Node) sendLater(s *sess, sv *server) {
+func (n *Node) sendLater(s *session, sv *server) {
 	if n.sabotage != SabotageCancel || sv == nil {
 		return
 	}
--- /dev/null
+++ b/internal/node/serverconn.go
@@ -0,0 +1,254 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"syscall"
+	"time"
+
+	"rainhaven/choice"
+	"rainhaven/choice/limits"
+	"rainhaven/choice/share"
+	"rainhaven/internal/rtsp"
+)
+
+func (n *Node) take(sv *server) *link {
+	var links []*link
+	var list []share.Carrying
+	for _, l := range sv.conns {
+		if !l.closed && !(l.up && l.isEnding()) {
+			links = append(links, l)
+			list = append(list, share.Carrying{Up: l.up, Open: len(l.open), Used: l.used})
+		}
+	}
+	switch i := share.Carry(list, n.perServer(), n.start.Streams); i {
+	case share.New:
+		l := n.dial(sv)
+		if l == nil && len(links) > 0 { // no descriptor is left: the least loaded of its own
+			l = slices.MinFunc(links, func(a, b *link) int { return len(a.open) - len(b.open) })
+		}
+		return l
+	case share.None:
+		return nil
+	default:
+		return links[i]
+	}
+}
+
+func (n *Node) perServer() int {
+	live := 0
+	for _, sv := range n.servers {
+		if sv.state != choice.Gone {
+			live++
+		}
+	}
+	return share.PerServer(n.start.Sockets, live)
+}
+
+func (n *Node) links() (all int) {
+	for _, sv := range n.servers {
+		all += len(sv.conns)
+	}
+	return all
+}
+
+func (n *Node) room() bool {
+	if n.links() < share.Servers(n.start.Sockets) {
+		return true
+	}
+	var links []*link
+	var list []share.Carrying
+	for _, sv := range n.servers {
+		for _, l := range sv.conns {
+			if l.up && sv.testOn != l && (len(sv.held) == 0 || len(sv.conns) > 1) {
+				links, list = append(links, l), append(list, share.Carrying{Up: true, Open: len(l.open), Used: l.used})
+			}
+		}
+	}
+	if i := share.Yield(list); i >= 0 {
+		n.retire(links[i])
+		links[i].drop()
+		return true
+	}
+	return false
+}
+
+func (n *Node) dial(sv *server) *link {
+	if !n.room() {
+		return nil
+	}
+	wait := n.start.Connect
+	if wait <= 0 {
+		wait = limits.Usual.ConnectTimeout
+	}
+	ctx, stop := context.WithTimeout(n.ctx, time.Duration(wait*float64(time.Second)))
+	l := &link{sv: sv, used: n.now, stop: stop}
+	sv.conns = append(sv.conns, l)
+	n.makeRoom()
+	n.wg.Add(1)
+	go n.readServer(ctx, l, sv.addr)
+	return l
+}
+
+func (n *Node) readServer(ctx context.Context, l *link, addr string) {
+	defer n.wg.Done()
+	nc, err := n.network.Dial(ctx, addr)
+	l.stop()
+	if err != nil {
+		n.tell(event{do: func() { n.notOpened(l, err) }})
+		return
+	}
+	defer context.AfterFunc(n.ctx, func() { nc.Close() })() // the loop may be over before it hears of this connection
+	c := newConn(nc, n.log)
+	if !n.tell(event{do: func() { l.conn = c; n.openedServer(l) }}) {
+		c.close()
+		return
+	}
+	in := rtsp.NewConn(nc, bounds)
+	for err == nil {
+		if err = in.Await(); err != nil {
+			break
+		}
+		if !c.isEnding() {
+			nc.SetReadDeadline(time.Now().Add(whole))
+		}
+		var m *rtsp.Message
+		if m, _, err = in.Next(); err == nil && (m == nil || in.Astray()) {
+			err = errAstray
+		}
+		if err == nil {
+			if !c.isEnding() {
+				nc.SetReadDeadline(time.Time{})
+			}
+			if !n.tell(event{do: func() { n.heardServer(l, m) }}) {
+				break
+			}
+		}
+	}
+	left := c.close()
+	n.tell(event{do: func() { n.closedServer(l, left, err) }})
+}
+
+var errAstray = errors.New("what follows a message is none")
+
+func (n *Node) disown(s *session, spoilt bool) {
+	b := tearDown(s.url, s.id, causeMoved)
+	if spoilt {
+		n.toServer(s.server, b)
+	} else {
+		n.say(s.server, b)
+	}
+}
+
+func (n *Node) notOpened(l *link, err error) {
+	sv := l.sv
+	n.drop(l)
+	refused := errors.Is(err, syscall.ECONNREFUSED)
+	n.log.Debug("no connection", str("server", sv.id), str("why", err.Error()))
+	if isLocal(err) {
+		n.notOpenedHere(l)
+		return
+	}
+	n.failTest(l, choice.NoConnection)
+	for _, s := range slices.Clone(l.open) {
+		n.setupOver(s, choice.NoConnection, noReport)
+	}
+	// Nothing listens there: the process is dead, and with it what stood there; unless another connection to it is up, as
+	// a server that is full of connections refuses further ones.
+	if refused && len(sv.held) > 0 && !slices.ContainsFunc(sv.conns, func(l *link) bool { return l.up && !l.isEnding() }) {
+		n.lost(sv)
+	}
+}
+
+func (n *Node) notOpenedHere(l *link) {
+	n.counts["no connection of the own machine"]++
+	n.failTest(l, choice.Unsent)
+	for _, s := range slices.Clone(l.open) {
+		n.unlink(s)
+		if s.local++; s.local > share.LocalTries {
+			n.setupOver(s, choice.Unsent, noReport)
+			continue
+		}
+		n.after(share.LocalPause, func() {
+			if n.sessions[s.id] == s && s.state == attempting && s.on == nil {
+				n.carry(s)
+			}
+		})
+	}
+}
+
+func (n *Node) openedServer(l *link) {
+	if l.closed {
+		l.end()
+		return
+	}
+	// That a connection was taken is no sign of life: the system takes it for a process that hangs.
+	l.up, l.used = true, n.now
+	if l.test {
+		l.test = false
+		n.sendTest(l)
+	}
+	owed := l.sv.owed
+	l.sv.owed = nil
+	for _, o := range owed {
+		l.sendKept(n.now, o.b)
+	}
+	for _, s := range slices.Clone(l.open) {
+		n.sendSetup(s, l)
+	}
+}
+
+func (n *Node) drop(l *link) {
+	l.closed = true
+	l.sv.conns = slices.DeleteFunc(l.sv.conns, func(o *link) bool { return o == l })
+}
+
+func (n *Node) closedServer(l *link, left int64, err error) {
+	if l.closed {
+		return
+	}
+	n.drop(l)
+	n.log.Debug("connection to a server ended", str("server", l.sv.id), str("why", errText(err)), num("open", len(l.open)))
+	n.failTest(l, choice.Reset)
+	var bad *rtsp.MalformedError
+	spoilt := errors.As(err, &bad) || errors.Is(err, errAstray)
+	for _, s := range slices.Clone(l.open) {
+		if s.from >= 0 && s.from < left {
+			n.disown(s, spoilt)
+			n.setupOver(s, choice.Reset, noReport)
+			continue
+		}
+		n.unlink(s)
+		n.guard.Unsent(s.id)
+		if s.resent++; s.resent > share.Resent {
+			n.setupOver(s, choice.Unsent, noReport)
+			continue
+		}
+		n.carry(s)
+	}
+	for _, b := range l.unsure(n.now, left) {
+		n.toServer(l.sv, b)
+	}
+	n.settleServer(l.sv)
+}
+
+func (n *Node) retire(l *link) {
+	if l.closed {
+		return
+	}
+	n.drop(l)
+	if l.up {
+		l.end()
+	} else {
+		l.stop()
+	}
+	n.failTest(l, choice.Reset)
+	for _, s := range slices.Clone(l.open) {
+		o := choice.Reset
+		if !l.up || s.from < 0 {
+			o = choice.Unsent
+		}
+		n.setupOver(s, o, noReport)
+	}
+}
--- a/internal/node/sessions.go
+++ b/internal/node/sessions.go
@@ -14,11 +14,11 @@
 )
 
 // ask takes a new session to the module. Its deadline counts from when it was read, however long it waited for the loop.
-func (n *Node) ask(v *viewer, a ask, at float64) {
-	s := &sess{ask: a, viewer: v, rung: n.start.Figures.Groups[a.group].Floor, from: -1}
+func (n *Node) ask(v *client, a ask, at float64) {
+	s := &session{ask: a, client: v, rung: n.start.Figures.Groups[a.group].Floor, from: -1}
 	s.request.SetupTimeout = at + max(a.patience-share.Margin, 0)
 	n.guard.Read(n.now, s.id, n.start.Figures.Groups[a.group].Paid, at+a.patience)
-	n.sess[s.id] = s
+	n.sessions[s.id] = s
 	v.held = append(v.held, s)
 	v.Open++
 	n.open++
@@ -28,19 +28,19 @@
 }
 
 // handed takes a session that stands already. It wants no answer.
-func (n *Node) handed(v *viewer, a ask) {
-	if n.sess[a.id] != nil {
+func (n *Node) handed(v *client, a ask) {
+	if n.sessions[a.id] != nil {
 		return
 	}
 	sv := n.byID[a.at]
-	if sv == nil || n.early[a.id] || len(n.sess)-n.open >= share.Handed(n.start.MemoryMB) {
+	if sv == nil || n.early[a.id] || len(n.sessions)-n.open >= share.Handed(n.start.MemoryMB) {
 		delete(n.early, a.id)
 		v.send(tearDown(a.url, a.id, causeCut))
 		return
 	}
 	a.body = nil
-	s := &sess{ask: a, viewer: v, state: standing, since: n.now, server: sv, rung: n.start.Figures.Groups[a.group].Floor}
-	n.sess[s.id] = s
+	s := &session{ask: a, client: v, state: established, since: n.now, server: sv, rung: n.start.Figures.Groups[a.group].Floor}
+	n.sessions[s.id] = s
 	v.held = append(v.held, s)
 	v.Standing++
 	v.proven = true
@@ -50,7 +50,7 @@
 }
 
 // carry takes a session's SETUP to a connection. The list may have taken its server from new work since it was chosen.
-func (n *Node) carry(s *sess) {
+func (n *Node) carry(s *session) {
 	if s.server.state != choice.Ready {
 		n.setupOver(s, choice.Unsent, noReport)
 		return
@@ -68,16 +68,16 @@
 }
 
 // unlink takes a SETUP off its connection.
-func (n *Node) unlink(s *sess) {
+func (n *Node) unlink(s *session) {
 	if s.on != nil {
-		s.on.open = slices.DeleteFunc(s.on.open, func(o *sess) bool { return o == s })
+		s.on.open = slices.DeleteFunc(s.on.open, func(o *session) bool { return o == s })
 		s.on.used = n.now
 		s.on = nil
 	}
 }
 
 // setupOver ends a SETUP that is out.
-func (n *Node) setupOver(s *sess, o choice.Outcome, r choice.Report) {
+func (n *Node) setupOver(s *session, o choice.Outcome, r choice.Report) {
 	sv := s.server
 	if s.release != nil { // it has stood, and its end was heard before its answer
 		o = choice.Departed
@@ -87,14 +87,14 @@
 	n.counts[fmt.Sprintf("outcome %d", o)]++
 	n.unlink(s)
 	n.cancel(s.waiting)
-	s.state, s.server, s.waiting = asked, nil, nil
+	s.state, s.server, s.waiting = pending, nil, nil
 	n.feed(wire.Event{Kind: wire.Ended, Request: choice.Request{ID: choice.SessID(s.id)}, Server: sv.number, Outcome: o, Report: r})
 	n.settleServer(sv)
 }
 
 // unsent takes a SETUP back of which nothing has left yet: from the queue, or, where the writer has it and its peer does
 // not read, with the whole connection, whose reader tells the loop. False where some of it has left.
-func (n *Node) unsent(s *sess) bool {
+func (n *Node) unsent(s *session) bool {
 	l := s.on
 	if l == nil || !l.up || s.from < 0 {
 		return true
@@ -111,7 +111,7 @@
 }
 
 // withdraw tells a server that a SETUP is given up. Its connection is of no more use where it was silent.
-func (n *Node) withdraw(s *sess, silent bool) {
+func (n *Node) withdraw(s *session, silent bool) {
 	l := s.on
 	l.send(tearDown(s.url, s.id, 0))
 	if len(n.past) < mostPast {
@@ -130,7 +130,7 @@
 }
 
 // timedOut ends a SETUP that was waited for long enough.
-func (n *Node) timedOut(s *sess) {
+func (n *Node) timedOut(s *session) {
 	s.waiting = nil
 	if n.unsent(s) {
 		o := choice.NoConnection
@@ -144,58 +144,58 @@
 	n.setupOver(s, choice.TimedOut, noReport)
 }
 
-// giveUp takes it that the viewer has given up its SETUP: nothing is owed.
-func (n *Node) giveUp(s *sess) {
+// giveUp takes it that the client has given up its SETUP: nothing is owed.
+func (n *Node) giveUp(s *session) {
 	was, sv := s.state, s.server
-	if was == out && !n.unsent(s) {
+	if was == attempting && !n.unsent(s) {
 		n.withdraw(s, false)
 	}
 	n.unlink(s)
 	n.sendLater(s, sv)
 	n.counts["given up"]++
 	n.guard.Cancelled(s.id)
-	n.log.Debug("given up", str("sess", s.id), zap.Bool("out", was == out))
+	n.log.Debug("given up", str("sess", s.id), zap.Bool("out", was == attempting))
 	n.forget(s)
 	n.feed(wire.Event{Kind: wire.Left, Request: choice.Request{ID: choice.SessID(s.id)}})
-	if was == out {
+	if was == attempting {
 		n.feed(wire.Event{Kind: wire.Ended, Request: choice.Request{ID: choice.SessID(s.id)}, Server: sv.number, Outcome: choice.Cancelled, Final: true, Report: noReport})
 		n.settleServer(sv)
 	}
 }
 
 // forget takes a session from all tables.
-func (n *Node) forget(s *sess) {
+func (n *Node) forget(s *session) {
 	n.cancel(s.waiting)
 	s.waiting = nil
 	n.unlink(s)
 	n.guard.Dropped(s.id)
-	if v := s.viewer; v != nil {
-		v.held = slices.DeleteFunc(v.held, func(o *sess) bool { return o == s })
-		if s.state == standing {
+	if v := s.client; v != nil {
+		v.held = slices.DeleteFunc(v.held, func(o *session) bool { return o == s })
+		if s.state == established {
 			v.Standing--
 		} else {
 			v.Open--
 		}
 		v.Used = n.now
 	}
-	if s.state != standing {
+	if s.state != established {
 		n.open--
 	} else if s.server != nil {
-		s.server.held = slices.DeleteFunc(s.server.held, func(o *sess) bool { return o == s })
+		s.server.held = slices.DeleteFunc(s.server.held, func(o *session) bool { return o == s })
 	}
-	delete(n.sess, s.id)
+	delete(n.sessions, s.id)
 }
 
-// stands takes a server's good answer and gives it to the viewer.
-func (n *Node) stands(s *sess, m *rtsp.Message) {
+// stands takes a server's good answer and gives it to the client.
+func (n *Node) stands(s *session, m *rtsp.Message) {
 	n.unlink(s)
 	n.cancel(s.waiting)
-	s.waiting, s.state, s.since = nil, standing, n.now
+	s.waiting, s.state, s.since = nil, established, n.now
 	n.open--
 	s.server.held = append(s.server.held, s)
 	n.counts["served"]++
 	n.feed(wire.Event{Kind: wire.Playing, Request: choice.Request{ID: choice.SessID(s.id)}, Server: s.server.number})
-	v := s.viewer
+	v := s.client
 	v.Open--
 	v.Standing++
 	v.proven = true
@@ -212,10 +212,10 @@
 	}
 }
 
-// ended ends a session that stood, and releases its viewer.
-func (n *Node) ended(s *sess, o choice.Outcome, cause int, r choice.Report) {
+// ended ends a session that stood, and releases its client.
+func (n *Node) ended(s *session, o choice.Outcome, cause int, r choice.Report) {
 	sv := s.server
-	v := s.viewer
+	v := s.client
 	n.counts[fmt.Sprintf("ended %d", o)]++
 	n.forget(s)
 	n.feed(wire.Event{Kind: wire.Ended, Request: choice.Request{ID: choice.SessID(s.id)}, Server: sv.number, Outcome: o, Final: true, Report: r})
@@ -225,13 +225,13 @@
 	n.settleServer(sv)
 }
 
-// release sends a viewer its session's end: on its own connection, else on any that served a session.
-func (n *Node) release(v *viewer, b []byte) {
+// release sends a client its session's end: on its own connection, else on any that served a session.
+func (n *Node) release(v *client, b []byte) {
 	if v != nil && !v.closed && v.sendKept(n.now, b) {
 		return
 	}
-	for i := len(n.viewers) - 1; i >= 0; i-- {
-		if o := n.viewers[i]; o.proven && o.sendKept(n.now, b) {
+	for i := len(n.clients) - 1; i >= 0; i-- {
+		if o := n.clients[i]; o.proven && o.sendKept(n.now, b) {
 			return
 		}
 	}
@@ -255,8 +255,8 @@
 	}
 }
 
-// viewerLeft ends a session that stood because its viewer has, or is gone.
-func (n *Node) viewerLeft(s *sess) {
+// clientLeft ends a session that stood because its client has, or is gone.
+func (n *Node) clientLeft(s *session) {
 	n.toServer(s.server, tearDown(s.url, s.id, causeMoved))
 	n.feed(wire.Event{Kind: wire.Left, Request: choice.Request{ID: choice.SessID(s.id)}})
 	n.ended(s, choice.Cancelled, causeMoved, noReport)
@@ -277,7 +277,7 @@
 
 // overtaken takes a release that came before the answer which it follows: the session has stood, so nothing is sent
 // elsewhere. Its answer is on its way; it is waited for until the deadline, goes to the client, and the release after it.
-func (n *Node) overtaken(s *sess, m *rtsp.Message) {
+func (n *Node) overtaken(s *session, m *rtsp.Message) {
 	if s.release != nil {
 		return
 	}
@@ -292,18 +292,18 @@
 }
 
 // released takes a server's release.
-func (n *Node) released(sv *server, s *sess, id string, m *rtsp.Message) {
+func (n *Node) released(sv *server, s *session, id string, m *rtsp.Message) {
 	switch {
 	case s == nil:
-		if validID(id) && n.sess[id] == nil && len(n.early) < mostPast {
+		if validID(id) && n.sessions[id] == nil && len(n.early) < mostPast {
 			n.early[id] = true
 			n.after(keepPast, func() { delete(n.early, id) })
 		}
-	case s.state == out && (cause(m) == causeOver || cause(m) == causeMoved):
+	case s.state == attempting && (cause(m) == causeOver || cause(m) == causeMoved):
 		n.overtaken(s, m)
-	case s.state == out:
+	case s.state == attempting:
 		n.setupOver(s, choice.Reset, readReport(m))
-	case s.state == standing:
+	case s.state == established:
 		switch c := cause(m); c {
 		case causeOver:
 			n.ended(s, choice.Served, c, readReport(m))
--- a/internal/node/standin_test.go
+++ b/internal/node/standin_test.go
@@ -362,14 +362,14 @@
 	}
 }
 
-func (f *farm) viewer() *peer {
+func (f *farm) client() *peer {
 	f.t.Helper()
 	c, err := net.Dial("tcp", f.addr)
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	f.t.Cleanup(func() { c.Close() })
-	return newPeer(f.t, c, "viewer")
+	return newPeer(f.t, c, "client")
 }
 
 // see runs a look at the node's tables within its loop.
@@ -406,7 +406,7 @@
 	return f, h
 }
 
-// serve has the host answer the next SETUP, and takes the answer at its viewer.
+// serve has the host answer the next SETUP, and takes the answer at its client.
 func (f *farm) serve(h *host, v *peer) heard {
 	f.t.Helper()
 	x, _ := f.wanted(rtsp.Setup, h)
--- a/internal/node/terms_test.go
+++ b/internal/node/terms_test.go
@@ -51,7 +51,7 @@
 				return []*host{s1}
 			})
 			failing.left.Store(2)
-			v := f.viewer()
+			v := f.client()
 			v.setup(id(1), "paid", "")
 			if c.local {
 				f.serve(s1, v)
@@ -72,10 +72,10 @@
 	failing := &failingNetwork{errno: syscall.EADDRNOTAVAIL}
 	f := newFarm(t, 256, func(f *farm) []*host { f.network = failing; return []*host{f.host("s-1")} })
 	failing.left.Store(1 << 20)
-	v := f.viewer()
+	v := f.client()
 	v.setup(id(1), "paid", "")
 	v.want("503")
-	f.until("nothing is left of it", func(n *Node) bool { return len(n.sess) == 0 && n.open == 0 })
+	f.until("nothing is left of it", func(n *Node) bool { return len(n.sessions) == 0 && n.open == 0 })
 }
 
 // A server's start is told by a clock that may be off by an hour, either way: the server is cold from when it was told, and
@@ -110,7 +110,7 @@
 func TestLittleTimeLeft(t *testing.T) {
 	f, s1 := single(t, 256)
 	for k, patience := range []int{1, 5, 12, 13, 30, 50} {
-		v := f.viewer()
+		v := f.client()
 		v.say("%s", request(k, patience))
 		sent := time.Now()
 		m := v.within(time.Duration(patience)*time.Millisecond + 500*time.Millisecond)
