--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -10,6 +10,7 @@
 	"rainhaven/internal/wire"
 )
 
+// probe tests a server: once at a time, whoever wants it.
 func (n *Node) probe(sv *server) {
 	if sv.tested != "" {
 		return
@@ -54,6 +55,7 @@
 	}
 }
 
+// tellTest ends a test; the module hears of it whoever wanted it.
 func (n *Node) tellTest(sv *server, o choice.Outcome, r choice.Report) {
 	if sv.tested == "" {
 		return
@@ -69,6 +71,7 @@
 	n.settleServer(sv)
 }
 
+// look keeps watch over servers where sessions stand, and closes connections that have long been idle.
 func (n *Node) look() {
 	for _, sv := range slices.Clone(n.servers) {
 		up, opening := 0, false
@@ -104,6 +107,7 @@
 	}
 }
 
+// lost ends what stood at a server that is dead, or counts as dead.
 func (n *Node) lost(sv *server) {
 	n.log.Info("sessions lost with their server", str("server", sv.id), num("sessions", len(sv.held)))
 	for _, s := range slices.Clone(sv.held) {
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -15,7 +15,6 @@
 )
 
 // server is one streaming server, by its id. It goes once it is gone from the list and nothing stands there.
-
 type server struct {
 	id       string
 	number   choice.ServerID
@@ -34,7 +33,6 @@
 }
 
 // link is one connection to a server, or one that is being opened.
-
 type link struct {
 	*conn
 	sv     *server
@@ -47,7 +45,6 @@
 }
 
 // out is how many SETUPs are out there, or wait for their connections.
-
 func (sv *server) out() (k int) {
 	for _, l := range sv.conns {
 		k += len(l.open)
@@ -55,30 +52,7 @@
 	return k
 }
 
-// take gives the connection for a SETUP, nil where there is none.
-
-// links is how many connections to servers there are, and that are being opened.
-
-// room tells whether one more connection to a server may be opened; where they are many an idle one gives way.
-
-// dial opens a connection; nil where no descriptor is left for it.
-
-// readServer opens a connection and hands the loop what the server sends, until it ends.
-
-// errAstray ends a connection on which what follows a message is none.
-
-// disown has a server end what a SETUP may have set up there although its answer can't be had: it would stand unasked. Where
-
-// the answer was spoilt the server lives and surely holds it, so a connection is opened for that if there is none.
-
-// notOpened takes it that a connection could not be opened: nothing ran.
-
-// notOpenedHere takes it that the own machine had no connection to give: that speaks against no server, and what waited for
-
-// it is tried again shortly, a few times within its deadline.
-
 // sendSetup writes a SETUP to a connection that is open.
-
 func (n *Node) sendSetup(s *session, l *link) {
 	wait := s.until - n.now
 	if !n.guard.Send(n.now, s.id, wait, s.server.state == choice.Ready) {
@@ -93,16 +67,7 @@
 	n.copyElsewhere(s)
 }
 
-// drop takes a connection from its server's.
-
-// closedServer takes the end of a connection, of which so many bytes left: SETUPs of which none did never ran, and
-
-// are sent anew.
-
-// retire ends a connection that is of no more use; its other SETUPs end with it.
-
 // heardServer takes one message of a server's.
-
 func (n *Node) heardServer(l *link, m *rtsp.Message) {
 	n.traceReceived(l.conn, m)
 	sv := l.sv
@@ -143,7 +108,6 @@
 }
 
 // late tears down at its server what a SETUP given up has set up after all.
-
 func (n *Node) late(sv *server, l *link, m *rtsp.Message) {
 	if m.Status == rtsp.OK && n.past[m.Session()] == sv {
 		delete(n.past, m.Session())
@@ -157,7 +121,6 @@
 }
 
 // say sends what belongs to no SETUP on any open connection; false where there is none.
-
 func (n *Node) say(sv *server, b []byte) bool {
 	for _, l := range sv.conns {
 		if l.up && l.sendKept(n.now, b) {
@@ -169,7 +132,6 @@
 }
 
 // toServer is say, and opens a connection where there is none. The address of a server that is gone may be another's.
-
 func (n *Node) toServer(sv *server, b []byte) {
 	if n.say(sv, b) || sv.state == choice.Gone || len(sv.owed) >= mostPast {
 		return
@@ -181,7 +143,6 @@
 }
 
 // setupAnswered takes a server's final answer to a SETUP.
-
 func (n *Node) setupAnswered(s *session, m *rtsp.Message) {
 	switch {
 	case m.Status == rtsp.OK && len(m.Body) > 0:
@@ -202,7 +163,6 @@
 }
 
 // noted takes a note on a session that stands.
-
 func (n *Node) noted(sv *server, s *session, m *rtsp.Message) {
 	x, err := strconv.ParseFloat(m.Header.Get(fieldFigure), 64)
 	kind := noteKinds[m.Header.Get(fieldNote)]
@@ -216,16 +176,7 @@
 	n.feed(wire.Event{Kind: kind, Request: choice.Request{ID: choice.SessID(s.id)}, Server: sv.number, Value: x})
 }
 
-// probe tests a server: once at a time, whoever wants it.
-
-// tellTest ends a test; the module hears of it whoever wanted it.
-
-// look keeps watch over servers where sessions stand, and closes connections that have long been idle.
-
-// lost ends what stood at a server that is dead, or counts as dead.
-
 // settleServer forgets a server that is gone once nothing of it is left.
-
 func (n *Node) settleServer(sv *server) {
 	if sv.state != choice.Gone || len(sv.held) > 0 || sv.tested != "" {
 		return
--- a/internal/node/serverconn.go
+++ b/internal/node/serverconn.go
@@ -13,6 +13,7 @@
 	"rainhaven/internal/rtsp"
 )
 
+// take gives the connection for a SETUP, nil where there is none.
 func (n *Node) take(sv *server) *link {
 	var links []*link
 	var list []share.Carrying
@@ -46,6 +47,7 @@
 	return share.PerServer(n.start.Sockets, live)
 }
 
+// links is how many connections to servers there are, and that are being opened.
 func (n *Node) links() (all int) {
 	for _, sv := range n.servers {
 		all += len(sv.conns)
@@ -53,6 +55,7 @@
 	return all
 }
 
+// room tells whether one more connection to a server may be opened; where they are many an idle one gives way.
 func (n *Node) room() bool {
 	if n.links() < share.Servers(n.start.Sockets) {
 		return true
@@ -74,6 +77,7 @@
 	return false
 }
 
+// dial opens a connection; nil where no descriptor is left for it.
 func (n *Node) dial(sv *server) *link {
 	if !n.room() {
 		return nil
@@ -91,6 +95,7 @@
 	return l
 }
 
+// readServer opens a connection and hands the loop what the server sends, until it ends.
 func (n *Node) readServer(ctx context.Context, l *link, addr string) {
 	defer n.wg.Done()
 	nc, err := n.network.Dial(ctx, addr)
@@ -130,8 +135,11 @@
 	n.tell(event{do: func() { n.closedServer(l, left, err) }})
 }
 
+// errAstray ends a connection on which what follows a message is none.
 var errAstray = errors.New("what follows a message is none")
 
+// disown has a server end what a SETUP may have set up there although its answer can't be had: it would stand unasked. Where
+// the answer was spoilt the server lives and surely holds it, so a connection is opened for that if there is none.
 func (n *Node) disown(s *session, spoilt bool) {
 	b := tearDown(s.url, s.id, causeMoved)
 	if spoilt {
@@ -141,6 +149,7 @@
 	}
 }
 
+// notOpened takes it that a connection could not be opened: nothing ran.
 func (n *Node) notOpened(l *link, err error) {
 	sv := l.sv
 	n.drop(l)
@@ -161,6 +170,8 @@
 	}
 }
 
+// notOpenedHere takes it that the own machine had no connection to give: that speaks against no server, and what waited for
+// it is tried again shortly, a few times within its deadline.
 func (n *Node) notOpenedHere(l *link) {
 	n.counts["no connection of the own machine"]++
 	n.failTest(l, choice.Unsent)
@@ -199,11 +210,14 @@
 	}
 }
 
+// drop takes a connection from its server's.
 func (n *Node) drop(l *link) {
 	l.closed = true
 	l.sv.conns = slices.DeleteFunc(l.sv.conns, func(o *link) bool { return o == l })
 }
 
+// closedServer takes the end of a connection, of which so many bytes left: SETUPs of which none did never ran, and
+// are sent anew.
 func (n *Node) closedServer(l *link, left int64, err error) {
 	if l.closed {
 		return
@@ -233,6 +247,7 @@
 	n.settleServer(l.sv)
 }
 
+// retire ends a connection that is of no more use; its other SETUPs end with it.
 func (n *Node) retire(l *link) {
 	if l.closed {
 		return
