--- a/choice/slowstart/slowstart.go
+++ b/choice/slowstart/slowstart.go
@@ -42,6 +42,10 @@
 // into how many a fall time is cut, of which a window touches one more. The same slot gives the same number.
 func Allowed(n, slots float64, processes int, seed uint64, server uint32, slot int64) int {
 	share := Mean(n) / (slots + 1) / float64(max(processes, 1))
+	// So few processes that no window could hold more than the server can take need no chance: each slot is used.
+	if full := math.Ceil(share); full*(slots+1)*float64(processes) <= n {
+		return int(full)
+	}
 	whole := math.Floor(share)
 	if uniform(seed, server, slot) < share-whole {
 		whole++
--- a/choice/slowstart/slowstart_test.go
+++ b/choice/slowstart/slowstart_test.go
@@ -52,3 +52,15 @@
 		}
 	}
 }
+
+// A process that is alone leaves no slot out, as there is nobody to leave it to.
+func TestAloneUsesEachSlot(t *testing.T) {
+	for _, n := range []float64{4, 24, 57, 200} {
+		slots := Slots(n)
+		for slot := range int64(1000) {
+			if Allowed(n, slots, 1, 7, 1, slot) < 1 {
+				t.Fatalf("budget %g: slot %d is left out", n, slot)
+			}
+		}
+	}
+}
