--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -46,6 +47,7 @@
 	crowded map[int]time.Duration // nodes that get several times the mean, until then
 	seed    uint64
 	pending sync.WaitGroup // restarts under way
+	network int            // the second byte of its nodes' addresses
 }
 
 const (
@@ -61,7 +63,11 @@
 // Run plays a soak and judges it.
 func Run(ctx context.Context, o Options) (*Report, error) {
 	s := &soak{o: o, log: &log{began: time.Now()}, crowded: map[int]time.Duration{}, seed: o.Seed}
-	var err error
+	claim, err := s.claimNetwork()
+	if err != nil {
+		return nil, err
+	}
+	defer claim.Close()
 	if s.coord, err = newCoordinator(s.log); err != nil {
 		return nil, err
 	}
@@ -93,11 +99,22 @@
 	return judge(s.log.sorted(), o), nil
 }
 
+// claimNetwork finds a loopback network that no other soak on the machine uses, and holds it by one of its addresses.
+func (s *soak) claimNetwork() (claim net.Listener, err error) {
+	for k := range numberOfNetworks {
+		s.network = firstNetwork + (os.Getpid()+k)%numberOfNetworks
+		if claim, err = net.Listen("tcp", fmt.Sprintf(nodeHost, s.network, 255, 254)); err == nil {
+			return claim, nil
+		}
+	}
+	return nil, fmt.Errorf("no loopback network is free: %w", err)
+}
+
 func (s *soak) startNodes() error {
 	var next atomic.Uint64
 	next.Store(1)
 	for k := range s.o.Nodes {
-		n := &node{index: k, listen: fmt.Sprintf(nodeHost, firstNetwork+os.Getpid()%numberOfNetworks, k/250, k%250+1), folder: s.o.Folder, o: s.o, log: s.log, coord: s.coord, nodes: s.o.Nodes}
+		n := &node{index: k, listen: fmt.Sprintf(nodeHost, s.network, k/250, k%250+1), folder: s.o.Folder, o: s.o, log: s.log, coord: s.coord, nodes: s.o.Nodes}
 		s.nodes = append(s.nodes, n)
 		s.clients = append(s.clients, &clients{node: n, log: s.log, rand: rand.New(rand.NewPCG(s.o.Seed, uint64(k))), next: &next})
 	}
