--- a/internal/lab/soak/client.go
+++ b/internal/lab/soak/client.go
@@ -347,13 +347,13 @@
 }
 
 // rude opens connections that are of no use: silent ones, half a request, nonsense. All are closed by the node or in time.
-func (c *clients) rude(many int, long time.Duration) {
+func (c *clients) rude(r *rand.Rand, many int, long time.Duration) {
 	for range many {
 		n, err := net.DialTimeout("tcp", c.node.listen, 200*time.Millisecond)
 		if err != nil {
 			return
 		}
-		switch c.rand.IntN(4) {
+		switch r.IntN(4) {
 		case 0:
 			fmt.Fprint(n, "SETUP rtsp://media/t RTSP/1.0\r\nCSeq: 1\r\nSession: ")
 		case 1:
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -66,7 +66,7 @@
 	{"connections of a server closed", 0, func(s *soak, rand *rand.Rand, _ time.Duration) { s.server(rand).cutConnections(true) }},
 	{"connections of a server reset", 0, func(s *soak, rand *rand.Rand, _ time.Duration) { s.server(rand).cutConnections(false) }},
 	{"rude clients", 3 * time.Second, func(s *soak, rand *rand.Rand, long time.Duration) {
-		s.clients[rand.IntN(len(s.clients))].rude(20+rand.IntN(150), long)
+		s.clients[rand.IntN(len(s.clients))].rude(rand, 20+rand.IntN(150), long)
 	}},
 	{"crowd", 2 * time.Second, func(s *soak, rand *rand.Rand, long time.Duration) { s.crowd(rand.IntN(len(s.nodes)), long) }},
 }
