--- a/choice/slowstart/slowstart.go
+++ b/choice/slowstart/slowstart.go
@@ -65,6 +65,16 @@
 	return float64(x>>11) / (1 << 53)
 }
 
+// Started is the instant from which a server counts as started whose start is told now as that long ago by a difference of two
+// machines' wall clocks. Of a start told while the process runs that is when it was told: it can't have been later, and the
+// server is warm a little later for it. Of one known at the own start there is only the difference.
+func Started(now, difference float64, running bool) float64 {
+	if running {
+		return now
+	}
+	return now - max(difference, 0)
+}
+
 // longestTelling is how many seconds after a server's start the list may tell of it.
 const longestTelling = 10.0
 
--- a/internal/node/ending_test.go
+++ b/internal/node/ending_test.go
@@ -94,6 +94,9 @@
 	f.terminate()
 	f.ends <- syscall.SIGTERM
 	f.over <- <-f.over
+	if !read["exit"] { // else the test shows nothing
+		t.Error("the request at the exit was not read")
+	}
 	for k, what := range []string{"exit", "over"} {
 		if m := clients[k].next(); read[what] && said(m) != "503" {
 			t.Errorf("read at %q: %s where 503 is due", what, said(m))
--- a/internal/node/started.go
+++ b/internal/node/started.go
@@ -17,12 +17,5 @@
 	return slowstart.Since(n.now - ms/1000)
 }
 
-// started is the instant from which a server counts as started. Of a start told while the node runs that is when it was
-// told: it can't have been later, and the server is warm a little later for it. Of one known at the own start there is only
-// the wall clock.
-func (n *Node) started(ms float64) float64 {
-	if n.ready {
-		return n.now
-	}
-	return min(ms/1000, n.now)
-}
+// started is the instant from which a server counts as started.
+func (n *Node) started(ms float64) float64 { return slowstart.Started(n.now, n.now-ms/1000, n.ready) }
