Log one line for each request that ended otherwise than by a usual answer

Cause: the platform keeps about 30 KB of a node's log, so a debug log held one second and not the one asked for.

--- a/internal/node/acts.go
+++ b/internal/node/acts.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 
 	"go.uber.org/zap"
 
@@ -42,6 +43,7 @@
 		return
 	}
 	wait = n.sabotage.wait(wait)
+	s.history.note(n.now, stepAttempt, sv.id)
 	s.state, s.server, s.until, s.resent, s.local = attempting, sv, n.now+wait, 0, 0
 	s.waiting = n.after(wait, func() { n.timedOut(s) })
 	n.carry(s)
@@ -69,6 +71,7 @@
 		why := account.Say([]account.Entry{{At: n.now, Sess: id, Act: act, Seconds: comeBack, Standing: st, Holders: len(st.Holders)}})
 		n.log.Debug("refused", str("sess", s.id), num("status", status), zap.Strings("why", why))
 	}
+	s.history.note(n.now, stepAnswered, strconv.Itoa(status))
 	n.refuse(s.client, s.id, status, comeBack)
 	n.forget(s)
 }
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -200,6 +200,8 @@
 		if answer {
 			n.refuse(v, s.id, rtsp.InternalError, 0)
 		}
+		s.history.note(n.now, stepClientClosed, errText(v.why))
+		s.history.unusual = true
 		n.giveUp(s)
 	}
 }
@@ -301,11 +303,13 @@
 	}
 	if s.state != established {
 		if s.client == v {
+			s.history.note(n.now, stepCancelled, "")
 			n.giveUp(s)
 			v.send(response(m, rtsp.OK))
 		}
 		return
 	}
+	s.history.note(n.now, stepCancelled, "")
 	n.clientLeft(s)
 	v.send(response(m, rtsp.OK))
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,6 +52,7 @@
 	since    float64  // when it was answered, or handed over
 	release  *release // its server's release, where that came before its answer
 	local    int      // how often the own machine had no connection for its SETUP
+	history  history
 }
 
 // event is something for the loop to do.
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -63,12 +63,13 @@
 		wait += longerDeadline
 	}
 	s.from, s.to = l.send(setup(s, wait))
+	s.history.note(n.now, stepSent, l.peer())
 	l.used = n.now
 	n.copyElsewhere(s)
 }
 
-// heardServer takes one message of a server's.
-func (n *Node) heardServer(l *link, m *rtsp.Message) {
+// heardServer takes one message of a server's, which was read at the instant given.
+func (n *Node) heardServer(l *link, m *rtsp.Message, at float64) {
 	n.traceReceived(l.conn, m)
 	sv := l.sv
 	if l.closed {
@@ -101,7 +102,7 @@
 		n.tellTest(sv, o, readReport(m))
 	case m.Header.Get("Cseq") == seqTearDown || m.Header.Get("Cseq") == seqOptions:
 	case s != nil && s.state == attempting && s.on == l:
-		n.setupAnswered(s, m)
+		n.setupAnswered(s, m, at)
 	case s == nil:
 		n.late(sv, l, m)
 	}
@@ -143,7 +144,8 @@
 }
 
 // setupAnswered takes a server's final answer to a SETUP.
-func (n *Node) setupAnswered(s *session, m *rtsp.Message) {
+func (n *Node) setupAnswered(s *session, m *rtsp.Message, at float64) {
+	s.history.note(at, stepServerAnswered, strconv.Itoa(m.Status))
 	switch {
 	case m.Status == rtsp.OK && len(m.Body) > 0:
 		n.stands(s, m)
--- a/internal/node/serverconn.go
+++ b/internal/node/serverconn.go
@@ -126,7 +126,8 @@
 			if !c.isEnding() {
 				nc.SetReadDeadline(time.Time{})
 			}
-			if !n.tell(event{do: func() { n.heardServer(l, m) }}) {
+			at := n.clock()
+			if !n.tell(event{do: func() { n.heardServer(l, m, at) }}) {
 				break
 			}
 		}
@@ -235,6 +236,7 @@
 		}
 		n.unlink(s)
 		n.guard.Unsent(s.id)
+		s.history.note(n.now, stepResent, "")
 		if s.resent++; s.resent > share.Resent {
 			n.setupOver(s, choice.Unsent, noReport)
 			continue
--- a/internal/node/sessions.go
+++ b/internal/node/sessions.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 
 	"go.uber.org/zap"
 
@@ -23,6 +24,7 @@
 	v.Open++
 	n.open++
 	n.counts["asked"]++
+	s.history.note(at, stepRead, v.peer())
 	n.log.Debug("asked", str("sess", s.id), str("class", s.class), num("home", s.request.StartCell), num("copies", s.request.Span), zap.Float64("patience", s.patience))
 	n.feed(wire.Event{Kind: wire.Ask, Request: s.request})
 }
@@ -83,6 +85,8 @@
 		o = choice.Departed
 	}
 	n.guard.Over(s.id, unrun(o))
+	s.history.note(n.now, stepOutcome, outcomeName(o))
+	s.history.unusual = s.history.unusual || o == choice.Reset || o == choice.Departed
 	n.log.Debug("setup over", str("sess", s.id), str("server", sv.id), num("outcome", int(o)))
 	n.counts[fmt.Sprintf("outcome %d", o)]++
 	n.unlink(s)
@@ -153,6 +157,7 @@
 	n.unlink(s)
 	n.sendLater(s, sv)
 	n.counts["given up"]++
+	s.history.unusual = s.history.unusual || was == attempting
 	n.guard.Cancelled(s.id)
 	n.log.Debug("given up", str("sess", s.id), zap.Bool("out", was == attempting))
 	n.forget(s)
@@ -165,6 +170,7 @@
 
 // forget takes a session from all tables.
 func (n *Node) forget(s *session) {
+	n.logHistory(s, "over")
 	n.cancel(s.waiting)
 	s.waiting = nil
 	n.unlink(s)
@@ -204,6 +210,7 @@
 			v.send(served(s.id, m.Body))
 		}
 		_, s.answered = v.sendNow(served(s.id, m.Body))
+		s.history.note(n.clock(), stepAnswered, writtenDetail(v, s.answered))
 	}
 	s.body = nil
 	n.log.Debug("served", str("sess", s.id), str("server", s.server.id), str("to", v.peer()), zap.Int64("ends", s.answered))
@@ -216,6 +223,9 @@
 func (n *Node) ended(s *session, o choice.Outcome, cause int, r choice.Report) {
 	sv := s.server
 	v := s.client
+	if n.now-s.since < quickRelease {
+		s.history.unusual = true
+	}
 	n.counts[fmt.Sprintf("ended %d", o)]++
 	n.forget(s)
 	n.feed(wire.Event{Kind: wire.Ended, Request: choice.Request{ID: choice.SessID(s.id)}, Server: sv.number, Outcome: o, Final: true, Report: r})
@@ -283,6 +293,7 @@
 	}
 	s.release = &release{cause(m), readReport(m)}
 	n.counts["released before the answer"]++
+	s.history.unusual = true
 	n.log.Debug("released before its answer", str("sess", s.id), str("server", s.server.id), num("cause", s.release.cause))
 	n.cancel(s.waiting)
 	s.waiting = n.after(max(s.request.SetupTimeout-n.now, 0), func() {
@@ -293,6 +304,9 @@
 
 // released takes a server's release.
 func (n *Node) released(sv *server, s *session, id string, m *rtsp.Message) {
+	if s != nil {
+		s.history.note(n.now, stepServerReleased, strconv.Itoa(cause(m)))
+	}
 	switch {
 	case s == nil:
 		if validID(id) && n.sessions[id] == nil && len(n.early) < mostPast {
