Failing test: a release before the answer is answered at once, not at the deadline

TestReleaseOvertakesTheAnswer asked for that wait (an answer 0.6 s later still passed on) and is replaced: TestReleaseBeforeTheAnswer is as strict about repeats and second answers, asks for the refusal within 0.1 s, and keeps the passing-on where an answer can be on its way.

--- a/internal/node/ending_test.go
+++ b/internal/node/ending_test.go
@@ -11,18 +11,29 @@
 // The tests of this file force the end of something to be heard of before what it ends: a session's release before its
 // answer, a connection's close before a request that was read from it, the exit before a reader's last request.
 
-// A server's release reaches the node before the answer that it follows: the session has stood, so its SETUP is not
-// repeated, and the client gets the one answer that the server gave, as soon as it comes.
-func TestReleaseOvertakesTheAnswer(t *testing.T) {
+// A server's release comes before an answer: the session is over, so its SETUP is not repeated. On the SETUP's own connection
+// nothing can follow it that was written before, so the client is refused at once. On another connection the answer may
+// be on its way: it is passed on if it comes soon, and else the client is refused all the same, long before its deadline.
+func TestReleaseBeforeTheAnswer(t *testing.T) {
+	const refusedWithin = 100 * time.Millisecond
 	for _, c := range []struct {
-		name     string
-		class    string
-		cause    int
-		released bool // the client is owed a release after its answer
+		name      string
+		class     string
+		cause     int
+		elsewhere bool          // the release comes on another connection
+		answer    time.Duration // the server's 200 follows after so long; 0 is never
+		wanted    []string      // what the client gets, in this order, and nothing more
 	}{
-		{"ended by its client", "free", causeMoved, false},
-		{"ended by its client, paid", "paid", causeMoved, false},
-		{"come to its end", "free", causeOver, true},
+		{"come to its end", "free", causeOver, false, 0, []string{"503"}},
+		{"come to its end, paid", "paid", causeOver, false, 0, []string{"500"}},
+		{"ended by its client", "free", causeMoved, false, 0, []string{"503"}},
+		{"ended by its client, paid", "paid", causeMoved, false, 0, []string{"500"}},
+		{"a late answer follows", "free", causeMoved, false, 200 * time.Millisecond, []string{"503"}},
+		{"a late answer follows, paid", "paid", causeOver, false, 200 * time.Millisecond, []string{"500"}},
+		{"overtakes its answer, ended by its client", "paid", causeMoved, true, 10 * time.Millisecond, []string{"200"}},
+		{"overtakes its answer, come to its end", "free", causeOver, true, 10 * time.Millisecond, []string{"200", rtsp.TearDown}},
+		{"on another connection, no answer", "paid", causeOver, true, 0, []string{"500"}},
+		{"on another connection, a late answer", "free", causeMoved, true, 200 * time.Millisecond, []string{"503"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var s1, s2 *host
@@ -33,23 +44,42 @@
 			v := f.client()
 			v.setup(id(1), c.class, "")
 			x, h := f.wanted(rtsp.Setup, s1, s2)
-			x.on.tearDown(id(1), c.cause)
-			time.Sleep(600 * time.Millisecond) // past the wait after which the class would be tried elsewhere
-			x.on.answer(x.m, 200, given)
-			if m := v.want("200"); string(m.Body) != given {
-				t.Errorf("the answer has %q", m.Body)
+			on := x.on
+			if c.elsewhere {
+				v.setup(id(2), "paid", "")
+				for on == x.on { // the class's place at the same server, on a connection of its own
+					y, g := f.wanted(rtsp.Setup, s1, s2)
+					if g != h {
+						y.on.answer(y.m, 453, "")
+						continue
+					}
+					on = y.on
+				}
 			}
-			if c.released {
-				v.want(rtsp.TearDown)
+			on.tearDown(id(1), c.cause)
+			if c.answer > 0 {
+				time.AfterFunc(c.answer, func() { x.on.answer(x.m, 200, given) })
 			}
-			other := s1
-			if h == s1 {
-				other = s2
+			for _, what := range c.wanted {
+				if m := v.wantWithin(refusedWithin, what); m.Session() != id(1) {
+					t.Errorf("%s for %s", what, m.Session())
+				}
 			}
-			f.none(other)
-			f.until("nothing is left of it", func(n *Node) bool { return len(n.sessions) == 0 && n.open == 0 })
+			time.Sleep(c.answer + refusedWithin)
+			f.see(func(n *Node) {
+				if n.sessions[id(1)] != nil {
+					t.Error("something is left of it")
+				}
+			})
 			v.say("OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n")
 			v.want("200") // and nothing of the session's before it
+			for _, server := range []*host{s1, s2} {
+				for len(server.seen) > 0 {
+					if y := <-server.seen; y.m.Method == rtsp.Setup && y.m.Session() == id(1) {
+						t.Errorf("%s gets a further SETUP", server.name)
+					}
+				}
+			}
 		})
 	}
 }
