Refuse a request at once whose session ended at its server before the answer

Change: a release with cause 16 or 31 for a SETUP that is out ends it as Departed: at once where it came on the SETUP's own connection, as what the server wrote before has been read there; after 50 ms at most where it came on another one (share.Overtaken). A 200 that follows is released at its server. No mark against the server, nothing sent elsewhere, as before.

--- a/choice/share/share.go
+++ b/choice/share/share.go
@@ -121,6 +121,11 @@
 // idle is common; against a server that takes connections and ends each, which would be opened anew without end.
 const Resent = 1
 
+// Overtaken is how many seconds an answer that its session's release has overtaken on another connection is waited for: connections
+// of one server differ by a few milliseconds, and by some tens where one of them is crowded. Harm: a client that is refused so
+// much later where no answer comes.
+const Overtaken = 0.05
+
 // LocalTries is how many times a SETUP is tried again for which the own machine had no connection to give, and LocalPause
 // after how many seconds: descriptors and ports come back as connections close. Harm: an answer that comes so much later.
 const (
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -85,7 +85,7 @@
 	switch {
 	case m.Method == rtsp.TearDown:
 		l.send(response(m, rtsp.OK))
-		n.released(sv, s, id, m)
+		n.released(l, s, id, m)
 	case m.Method == rtsp.Announce && s != nil:
 		n.noted(sv, s, m)
 	case m.Method == rtsp.Options:
--- a/internal/node/sessions.go
+++ b/internal/node/sessions.go
@@ -118,21 +118,27 @@
 func (n *Node) withdraw(s *session, silent bool) {
 	l := s.on
 	l.send(tearDown(s.url, s.id, 0))
-	if len(n.past) < mostPast {
-		id, sv := s.id, s.server
-		n.past[id] = sv
-		n.after(keepPast, func() {
-			if n.past[id] == sv {
-				delete(n.past, id)
-			}
-		})
-	}
+	n.awaitLate(s)
 	if silent && len(l.open) == 1 {
 		n.unlink(s)
 		n.retire(l)
 	}
 }
 
+// awaitLate remembers a SETUP that is over without an answer: what its server sets up after all is released there.
+func (n *Node) awaitLate(s *session) {
+	if len(n.past) >= mostPast {
+		return
+	}
+	id, sv := s.id, s.server
+	n.past[id] = sv
+	n.after(keepPast, func() {
+		if n.past[id] == sv {
+			delete(n.past, id)
+		}
+	})
+}
+
 // timedOut ends a SETUP that was waited for long enough.
 func (n *Node) timedOut(s *session) {
 	s.waiting = nil
@@ -285,25 +291,37 @@
 	return choice.Cancelled
 }
 
-// overtaken takes a release that came before the answer which it follows: the session has stood, so nothing is sent
-// elsewhere. Its answer is on its way; it is waited for until the deadline, goes to the client, and the release after it.
-func (n *Node) overtaken(s *session, m *rtsp.Message) {
+// releasedUnanswered takes a release for a SETUP that has had no answer. The session is over, so nothing is sent elsewhere. What its server
+// wrote before on the same connection has been read, so no answer is on its way and the request is refused at once. A
+// release on another connection may have overtaken the answer, which then has a moment to come.
+func (n *Node) releasedUnanswered(l *link, s *session, m *rtsp.Message) {
 	if s.release != nil {
 		return
 	}
 	s.release = &release{cause(m), readReport(m)}
-	n.counts["released before the answer"]++
 	s.history.unusual = true
-	n.log.Debug("released before its answer", str("sess", s.id), str("server", s.server.id), num("cause", s.release.cause))
+	n.counts["released before the answer"]++
 	n.cancel(s.waiting)
-	s.waiting = n.after(max(s.request.SetupTimeout-n.now, 0), func() {
+	s.waiting = nil
+	if l == s.on {
+		n.departed(s)
+		return
+	}
+	wait := min(share.Overtaken, s.request.SetupTimeout-n.now)
+	s.waiting = n.after(max(wait, 0), func() {
 		s.waiting = nil
-		n.setupOver(s, choice.Departed, s.release.report)
+		n.departed(s)
 	})
 }
 
+// departed ends a SETUP whose session has ended at its server. Should an answer follow after all, the server is told.
+func (n *Node) departed(s *session) {
+	n.awaitLate(s)
+	n.setupOver(s, choice.Departed, s.release.report)
+}
+
 // released takes a server's release.
-func (n *Node) released(sv *server, s *session, id string, m *rtsp.Message) {
+func (n *Node) released(l *link, s *session, id string, m *rtsp.Message) {
 	if s != nil {
 		s.history.note(n.now, stepServerReleased, strconv.Itoa(cause(m)))
 	}
@@ -314,7 +332,7 @@
 			n.after(keepPast, func() { delete(n.early, id) })
 		}
 	case s.state == attempting && (cause(m) == causeOver || cause(m) == causeMoved):
-		n.overtaken(s, m)
+		n.releasedUnanswered(l, s, m)
 	case s.state == attempting:
 		n.setupOver(s, choice.Reset, readReport(m))
 	case s.state == established:
