--- a/cmd/rainhaven/soak.go
+++ b/cmd/rainhaven/soak.go
@@ -15,7 +15,7 @@
 func soakCommand() *cobra.Command {
 	o := soak.Usual()
 	var sabotage, folder string
-	var quiet bool
+	var quiet, dense bool
 	var names []string
 	for _, s := range node.Sabotages {
 		names = append(names, string(s))
@@ -29,6 +29,9 @@
 the status is 1 as it must be.`,
 		RunE: func(c *cobra.Command, _ []string) error {
 			var err error
+			if dense {
+				o = denseOptions(c, o)
+			}
 			if o.Sabotage, err = node.ParseSabotage(sabotage); err != nil {
 				return err
 			}
@@ -59,6 +62,7 @@
 			}
 			return nil
 		}}
+	c.Flags().BoolVar(&dense, "dense", false, "a handful of processes under many faults at once, in stories of faults that follow each other")
 	c.Flags().IntVar(&o.Nodes, "nodes", o.Nodes, "front nodes")
 	c.Flags().IntVar(&o.Servers, "servers", o.Servers, "streaming servers")
 	c.Flags().Uint64Var(&o.Seed, "seed", o.Seed, "faults and traffic follow from it")
@@ -72,3 +76,22 @@
 	c.Flags().BoolVarP(&quiet, "quiet", "q", false, "the report only")
 	return c
 }
+
+// denseOptions are those of a dense soak, with what was asked for by flags.
+func denseOptions(c *cobra.Command, asked soak.Options) soak.Options {
+	o := soak.Dense()
+	o.Seed, o.Log, o.Clocks, o.NetworkFaults = asked.Seed, asked.Log, asked.Clocks, asked.NetworkFaults
+	if c.Flags().Changed("nodes") {
+		o.Nodes = asked.Nodes
+	}
+	if c.Flags().Changed("servers") {
+		o.Servers = asked.Servers
+	}
+	if c.Flags().Changed("for") {
+		o.Long = asked.Long
+	}
+	if c.Flags().Changed("rate") {
+		o.Rate = asked.Rate
+	}
+	return o
+}
--- /dev/null
+++ b/internal/lab/soak/process.go
@@ -0,0 +1,78 @@
+package soak
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// measureEvery is how often the processes' descriptors and memory are looked at.
+const measureEvery = 100 * time.Millisecond
+
+// complaints are what a node's log must not hold: violations that its own guard saw, and crashes.
+var complaints = []string{"invariant violated", "panic:", "fatal error:", "DATA RACE"}
+
+// watchProcesses looks at the processes' descriptors and memory.
+func (s *soak) watchProcesses(ctx context.Context) {
+	for pause(ctx, measureEvery) {
+		for _, n := range s.nodes {
+			n.measure()
+		}
+	}
+}
+
+// measure records how many descriptors and megabytes the process holds.
+func (n *node) measure() {
+	n.mu.Lock()
+	cmd, ready := n.cmd, n.ready
+	n.mu.Unlock()
+	if cmd == nil || !ready {
+		return
+	}
+	open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", cmd.Process.Pid))
+	if err != nil {
+		return // it has ended
+	}
+	megabytes := residentMemory(cmd.Process.Pid)
+	n.log.add(record{kind: nodeMeasured, node: n.index, descriptors: len(open), megabytes: megabytes})
+}
+
+// residentMemory is how many megabytes a process holds; 0 where that can't be read.
+func residentMemory(pid int) float64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(text))
+	if len(fields) < 2 {
+		return 0
+	}
+	pages, _ := strconv.ParseFloat(fields[1], 64)
+	return pages * float64(os.Getpagesize()) / (1 << 20)
+}
+
+// readLogs records what the nodes' logs complain of.
+func (s *soak) readLogs() {
+	for _, n := range s.nodes {
+		text, err := os.ReadFile(filepath.Join(n.folder, fmt.Sprintf("n%d.log", n.index)))
+		if err != nil {
+			continue
+		}
+		lines := bufio.NewScanner(bytes.NewReader(text))
+		lines.Buffer(nil, 1<<20)
+		for lines.Scan() {
+			for _, what := range complaints {
+				if strings.Contains(lines.Text(), what) {
+					n.log.add(record{kind: nodeComplained, node: n.index, detail: lines.Text()})
+					break
+				}
+			}
+		}
+	}
+}
--- a/internal/node/ending_test.go
+++ b/internal/node/ending_test.go
@@ -133,3 +133,25 @@
 		}
 	}
 }
+
+// A server's release comes on a connection that the node is closing, as a SETUP on it was not answered in time: the session
+// has ended all the same, and its client is told.
+func TestReleaseOnAConnectionThatIsClosed(t *testing.T) {
+	f, s1 := single(t, 256)
+	v := f.client()
+	v.setup(id(1), "free", "")
+	x := f.serve(s1, v)
+	v.setup(id(2), "free", "")
+	y, _ := f.wanted(rtsp.Setup, s1)
+	if y.on != x.on {
+		t.Fatal("the second SETUP came over another connection")
+	}
+	var first *link
+	f.see(func(n *Node) { first = n.byID["s-1"].conns[0] })
+	v.want("503") // after its wait
+	f.until("the connection is being closed", func(*Node) bool { return first.closed })
+	x.on.tearDown(id(1), causeOver)
+	if m := v.wantWithin(200*time.Millisecond, rtsp.TearDown); m.Session() != id(1) {
+		t.Errorf("the end of %s", m.Session())
+	}
+}
