--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -72,16 +72,16 @@
 func (n *Node) heardServer(l *link, m *rtsp.Message, at float64) {
 	n.traceReceived(l.conn, m)
 	sv := l.sv
-	if l.closed {
-		n.late(sv, l, m)
-		return
-	}
 	sv.liveness.Heard(n.now)
 	id := m.Session()
 	s := n.sessions[id]
 	if s != nil && s.server != sv {
 		s = nil
 	}
+	if l.closed {
+		n.heardClosing(l, s, m)
+		return
+	}
 	switch {
 	case m.Method == rtsp.TearDown:
 		l.send(response(m, rtsp.OK))
@@ -108,6 +108,19 @@
 	}
 }
 
+// heardClosing takes a message on a connection that is being closed. No SETUP is out on it any more, but what concerns sessions that
+// stand belongs to no connection.
+func (n *Node) heardClosing(l *link, s *session, m *rtsp.Message) {
+	switch {
+	case m.Method == rtsp.TearDown:
+		n.released(l, s, m.Session(), m)
+	case m.Method == rtsp.Announce && s != nil:
+		n.noted(l.sv, s, m)
+	case !m.IsRequest():
+		n.late(l.sv, l, m)
+	}
+}
+
 // late tears down at its server what a SETUP given up has set up after all.
 func (n *Node) late(sv *server, l *link, m *rtsp.Message) {
 	if m.Status == rtsp.OK && n.past[m.Session()] == sv {
