--- a/choice/slowstart/slowstart_test.go
+++ b/choice/slowstart/slowstart_test.go
@@ -64,3 +64,21 @@
 		}
 	}
 }
+
+// A start that a process knows from its configuration never counts as longer ago than it is, by however many seconds or by an
+// hour the wall clock is off; one that is surely long ago counts as such.
+func TestStartKnownByAClockThatIsOff(t *testing.T) {
+	for _, off := range []float64{0, 1, -1, 3, -3, 5, -5, 3600, -3600, 3603, 3597, -3603} {
+		for _, age := range []float64{0, 0.5, 2, 4, 8, 12, 20, 60} {
+			const now = 1e6
+			if counted := now - Started(now, age+off, false); counted > age {
+				t.Errorf("%g s ago by a clock that is off by %g s counts as %g s ago", age, off, counted)
+			}
+		}
+	}
+	for _, age := range []float64{30, 600, 3500, 7200, 86400} {
+		if counted := 1e6 - Started(1e6, age, false); counted < age-5 {
+			t.Errorf("%g s ago by a clock that is right counts as %g s ago", age, counted)
+		}
+	}
+}
