--- a/choice/slowstart/slowstart.go
+++ b/choice/slowstart/slowstart.go
@@ -65,14 +65,31 @@
 	return float64(x>>11) / (1 << 53)
 }
 
+const (
+	// stepSeconds and stepHour are by how much wall clocks are stepped at most: by some seconds, or by an hour and some seconds.
+	stepSeconds, stepHour = 5.0, 3600.0
+	// stillCold is how many seconds after its start a server may still be cold: past any usual warm-up.
+	stillCold = 120.0
+)
+
 // Started is the instant from which a server counts as started whose start is told now as that long ago by a difference of two
 // machines' wall clocks. Of a start told while the process runs that is when it was told: it can't have been later, and the
-// server is warm a little later for it. Of one known at the own start there is only the difference.
+// server is warm a little later for it. Of one known at the own start there is only the difference, which may be too long by a
+// step of one of the clocks: it counts for the least that it may be. Harm: after its start a process sends little to servers that started
+// a few seconds before, and to those that started an hour before.
 func Started(now, difference float64, running bool) float64 {
 	if running {
 		return now
 	}
-	return now - max(difference, 0)
+	return now - leastAge(difference)
+}
+
+// leastAge is the least that an age may be by clocks that were stepped.
+func leastAge(difference float64) float64 {
+	if age := difference - stepHour - stepSeconds; age < stillCold && difference > stepHour-stepSeconds {
+		return max(age, 0)
+	}
+	return max(difference-stepSeconds, 0)
 }
 
 // longestTelling is how many seconds after a server's start the list may tell of it.
