Failing test: a half-close behind a request leaves it without an answer

The soak had taken such requests for ones that cross a close and sent them once more; it no longer does.

--- a/internal/lab/soak/oddclient.go
+++ b/internal/lab/soak/oddclient.go
@@ -30,6 +30,7 @@
 			return true
 		}
 		r := c.request(c.rand, 0, c.rand.IntN(titles))
+		r.resent = true // it crosses no close but its client's own
 		if !on.send(r, 0, "closes") {
 			return true
 		}
--- a/internal/node/ending_test.go
+++ b/internal/node/ending_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"net"
 	"syscall"
 	"testing"
 	"time"
@@ -155,3 +156,26 @@
 		t.Errorf("the end of %s", m.Session())
 	}
 }
+
+// A client ends the sending side of its connection behind its request: whether it has gone or waits for its answer can't be
+// told, so the attempt is given up at once and the request gets a final answer all the same; what stands there stands.
+func TestHalfCloseBehindARequest(t *testing.T) {
+	for _, class := range []string{"free", "paid"} {
+		t.Run(class, func(t *testing.T) {
+			f, s1 := single(t, 256)
+			v := f.client()
+			v.setup(id(1), class, "")
+			x, _ := f.wanted(rtsp.Setup, s1)
+			v.Conn.(*net.TCPConn).CloseWrite()
+			if m := v.wantWithin(100*time.Millisecond, "500"); m.Session() != id(1) {
+				t.Errorf("the answer of %s", m.Session())
+			}
+			v.want("closed")
+			if y, _ := f.wanted(rtsp.TearDown, s1); y.m.Session() != id(1) {
+				t.Errorf("%s is given up", y.m.Session())
+			}
+			x.on.answer(x.m, 200, given)
+			f.until("nothing is left of it", func(n *Node) bool { return len(n.sessions) == 0 && n.open == 0 })
+		})
+	}
+}
