Answer what is open on a connection whose client sends nothing more

Change: they are given up at their servers at once as before, and each gets a final answer before the close; one that has gone does not read it.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"slices"
@@ -89,6 +90,12 @@
 func (n *Node) readFailed(v *client, err error) {
 	v.why = err
 	var bad *rtsp.MalformedError
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		if n.tell(event{do: func() { n.sendingEnded(v) }}) {
+			v.awaitFlush()
+		}
+		return
+	}
 	late := errors.Is(err, os.ErrDeadlineExceeded) && !v.isEnding()
 	if !late && !errors.As(err, &bad) && err != nil {
 		return
@@ -105,6 +112,17 @@
 	}
 }
 
+// sendingEnded takes it that a client sends nothing more. Whether it has gone or still reads can't be told: its open requests are
+// given up, and get their final answers all the same.
+func (n *Node) sendingEnded(v *client) {
+	if v.closed {
+		return
+	}
+	v.stopped = true
+	n.abandon(v, true)
+	v.end()
+}
+
 func (n *Node) opened(v *client) {
 	v.Since, v.Used = n.now, n.now
 	n.counts["viewers"]++
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -288,6 +288,16 @@
 	}
 }
 
+// awaitFlush waits until all that was queued on a connection that is being closed has been written, or for so long as its peer may take.
+func (c *conn) awaitFlush() {
+	timeout := time.NewTimer(parting)
+	defer timeout.Stop()
+	select {
+	case <-c.ended:
+	case <-timeout.C:
+	}
+}
+
 // discard takes what still comes on a connection that is being closed.
 func (c *conn) discard() {
 	c.nc.SetReadDeadline(time.Now().Add(parting))
