Soak: sabotages for releases, list, limits and guard; clients that aim at the close of unused connections

Change: five sabotages; clients that learn the node's looks from one connection's close and send on two dozen in that instant.

--- a/internal/lab/soak/client.go
+++ b/internal/lab/soak/client.go
@@ -58,6 +58,7 @@
 	sessions int
 	used     time.Time
 	closed   bool
+	closedAt chan time.Duration // gets the instant in which the node closed it
 }
 
 // request is one request, as its client has it.
@@ -77,7 +78,7 @@
 	if err != nil {
 		return nil
 	}
-	conn := &clientConn{Conn: n, log: c.log, node: c.node.index, open: map[string]*request{}, used: time.Now()}
+	conn := &clientConn{Conn: n, log: c.log, node: c.node.index, open: map[string]*request{}, used: time.Now(), closedAt: make(chan time.Duration, 1)}
 	go c.read(conn)
 	return conn
 }
@@ -349,6 +350,7 @@
 	if mine {
 		return
 	}
+	on.closedAt <- now
 	c.log.add(record{at: now, kind: connectionEnded, node: on.node, detail: on.LocalAddr().String()})
 	for id, r := range open {
 		c.log.add(record{at: now, kind: requestCut, request: id, node: on.node, detail: err.Error()})
--- a/internal/lab/soak/judgeend.go
+++ b/internal/lab/soak/judgeend.go
@@ -44,6 +44,9 @@
 		if at, known := gone[h.sent.peer]; known && at < end+within {
 			within = lateRelease
 		}
+		if at := died[server]; at > end && at < end+within { // what it wrote last may have ended with it
+			end, within = at, lateRelease
+		}
 		limit := end + within + slack + busyMachine
 		limit += j.stood(h.sent.node, end, limit)
 		if limit > j.o.Long || j.nextExit(h.sent.node, h.sent.at) < limit {
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -90,6 +90,9 @@
 		all.Go(func() { c.rest(ctx, rand.New(rand.NewPCG(o.Seed, uint64(1000+c.node.index)))) })
 	}
 	if s.o.Dense {
+		for _, c := range s.clients {
+			all.Go(func() { c.aim(ctx, rand.New(rand.NewPCG(o.Seed, uint64(3000+c.node.index)))) })
+		}
 		all.Go(func() { s.playStories(ctx) })
 		all.Go(func() { s.playCrowd(ctx) })
 	}
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -54,6 +54,8 @@
 	frontnode.SabotageSlowStart: SlowStart, frontnode.SabotageFloor: Terms, frontnode.SabotageSeats: Terms,
 	frontnode.SabotageBudget: RetryBudget, frontnode.SabotageCancel: NotAfterEnd, frontnode.SabotageDeadline: Deadline,
 	frontnode.SabotageReady: Ready, frontnode.SabotageExit: Ended,
+	frontnode.SabotageRelease: Released, frontnode.SabotageList: Drained, frontnode.SabotageDescriptors: Limits,
+	frontnode.SabotageGuard: Guarded, frontnode.SabotageClose: Answered,
 }
 
 // Each invariant has a sabotage, and each sabotage an invariant.
--- a/internal/node/close.go
+++ b/internal/node/close.go
@@ -19,6 +19,10 @@
 	}
 	n.log.Debug("a client's connection is to be closed", str("from", v.peer()), str("why", string(why)), num("rank", v.Rank(n.now)))
 	v.stopping = why
+	if n.sabotage == SabotageClose {
+		v.cut()
+		return
+	}
 	v.stop(!v.Spoke)
 }
 
--- a/internal/node/sabotage.go
+++ b/internal/node/sabotage.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"os"
 	"slices"
 	"strings"
 	"time"
 
 	"rainhaven/choice"
+	"rainhaven/internal/invariant"
 	"rainhaven/internal/node/start"
 )
 
@@ -29,11 +31,18 @@
 	SabotageDeadline  Sabotage = "deadline"  // servers are told longer deadlines than clients have
 	SabotageReady     Sabotage = "ready"     // a start takes far too long
 	SabotageExit      Sabotage = "exit"      // SIGTERM is not heeded
+
+	SabotageRelease     Sabotage = "release"     // some clients are not told of their sessions' ends
+	SabotageList        Sabotage = "list"        // what the coordinator tells is taken seconds late
+	SabotageDescriptors Sabotage = "descriptors" // more descriptors are held than the configuration allows
+	SabotageGuard       Sabotage = "guard"       // the node's own guard complains
+	SabotageClose       Sabotage = "close"       // connections unused for long are closed without hearing from their readers
 )
 
 // Sabotages are all of them.
 var Sabotages = []Sabotage{SabotageAnswer, SabotageTwice, SabotageRefusal, SabotageRepeat, SabotageOverlap, SabotageDrain, SabotageSlowStart,
-	SabotageFloor, SabotageSeats, SabotageBudget, SabotageCancel, SabotageDeadline, SabotageReady, SabotageExit}
+	SabotageFloor, SabotageSeats, SabotageBudget, SabotageCancel, SabotageDeadline, SabotageReady, SabotageExit,
+	SabotageRelease, SabotageList, SabotageDescriptors, SabotageGuard, SabotageClose}
 
 // ParseSabotage reads a sabotage's name; an empty one is none.
 func ParseSabotage(name string) (Sabotage, error) {
@@ -58,8 +67,15 @@
 	shortWait = 0.005
 	// longerDeadline is what is added to the deadlines that servers are told, in seconds.
 	longerDeadline = 1.0
+	// listDelay is how late a sabotaged node takes what the coordinator tells, in seconds.
+	listDelay = 7.0
+	// extraDescriptors is how many descriptors a sabotaged node holds beyond its limit.
+	extraDescriptors = 20
 )
 
+// held are the descriptors that a sabotaged process holds to its end.
+var held []*os.File
+
 // prepare spoils what a node starts with.
 func (s Sabotage) prepare(f *start.Start) {
 	switch s {
@@ -69,6 +85,12 @@
 		f.Figures.SetupWindow = 0
 	case SabotageReady:
 		time.Sleep(startDelay)
+	case SabotageDescriptors:
+		for range f.Sockets + extraDescriptors {
+			if file, err := os.Open(os.DevNull); err == nil {
+				held = append(held, file)
+			}
+		}
 	}
 	for i := range f.Figures.Groups {
 		switch s {
@@ -87,6 +109,22 @@
 	return n.sabotage == s && int(id[len(id)-1])%sabotaged == 0
 }
 
+// whenTaken does something as late as a sabotaged list is taken, or at once.
+func (n *Node) whenTaken(do func()) {
+	if n.sabotage == SabotageList {
+		n.after(listDelay, do)
+		return
+	}
+	do()
+}
+
+// complain has the guard report something for a request.
+func (n *Node) complain(id string) {
+	if n.spoils(SabotageGuard, id) {
+		n.violated(invariant.Violation{Reason: invariant.AnswerMissing, Request: id, Detail: "sabotaged"})
+	}
+}
+
 // entry spoils an entry of the list.
 func (s Sabotage) entry(l choice.Listing) choice.Listing {
 	if s == SabotageDrain && l.State == choice.Draining {
--- a/internal/node/sessions.go
+++ b/internal/node/sessions.go
@@ -24,6 +24,7 @@
 	v.Open++
 	n.open++
 	n.counts["asked"]++
+	n.complain(s.id)
 	s.history.note(at, stepRead, v.peer())
 	n.log.Debug("asked", str("sess", s.id), str("class", s.class), num("home", s.request.StartCell), num("copies", s.request.Span), zap.Float64("patience", s.patience))
 	n.feed(wire.Event{Kind: wire.Ask, Request: s.request})
@@ -235,7 +236,7 @@
 	n.counts[fmt.Sprintf("ended %d", o)]++
 	n.forget(s)
 	n.feed(wire.Event{Kind: wire.Ended, Request: choice.Request{ID: choice.SessID(s.id)}, Server: sv.number, Outcome: o, Final: true, Report: r})
-	if cause != causeMoved {
+	if cause != causeMoved && !n.spoils(SabotageRelease, s.id) {
 		n.release(v, tearDown(s.url, s.id, cause))
 	}
 	n.settleServer(sv)
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -46,9 +46,11 @@
 			}
 		}, func(e feed.Event) bool {
 			return n.tell(event{do: func() {
-				if e.Index > n.index { // another coordinator, or this one before, has told it
-					n.listed(e)
-				}
+				n.whenTaken(func() {
+					if e.Index > n.index { // another coordinator, or this one before, has told it
+						n.listed(e)
+					}
+				})
 			}})
 		}, func(err error) {
 			n.log.Debug("the coordinator's connection ended", str("coordinator", addr), str("why", errText(err)))
