Soak: tell a request that was read from one that crossed a close by the system's reset

Change: after a clean end of a connection the client waits for the reset that unread bytes bring; without one the request was read.

--- a/internal/lab/soak/client.go
+++ b/internal/lab/soak/client.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"rainhaven/internal/rtsp"
@@ -22,6 +25,8 @@
 	// nodeIdle is how long a node keeps a connection without sessions; a client at rest sends between so long before and
 	// so long after that.
 	nodeIdle, restEarly, restSpan = 6 * time.Second, 50 * time.Millisecond, 250 * time.Millisecond
+	// resetComes is within how long after a connection's end its reset comes, if one does.
+	resetComes = 30 * time.Millisecond
 	// Shares of requests whose client cancels early, closes its connection early, or sends in pieces.
 	cancels, closes, pieces = 0.06, 0.03, 0.15
 	// earliest is the least time after which a client cancels, and span how much longer it may be.
@@ -346,13 +351,19 @@
 	open := on.open
 	on.open = map[string]*request{}
 	on.mu.Unlock()
-	on.Close()
 	if mine {
+		on.Close()
 		return
 	}
+	read := len(open) > 0 && on.allRead(err)
+	on.Close()
 	on.closedAt <- now
 	c.log.add(record{at: now, kind: connectionEnded, node: on.node, detail: on.LocalAddr().String()})
 	for id, r := range open {
+		if read {
+			c.log.add(record{at: now, kind: requestCut, request: id, node: on.node, detail: detailRead})
+			continue
+		}
 		c.log.add(record{at: now, kind: requestCut, request: id, node: on.node, detail: err.Error()})
 		if r.resent || now-r.sent > crossing || !c.node.takesNew() {
 			continue
@@ -364,6 +375,29 @@
 	}
 }
 
+// detailRead says of a cut request that its node had read it.
+const detailRead = "read, and closed without an answer"
+
+// allRead tells whether a node that has closed a connection had read all that was sent there: what it had not read, its system
+// answers with a reset.
+func (c *clientConn) allRead(err error) bool {
+	t, ok := c.Conn.(*net.TCPConn)
+	if !ok || !errors.Is(err, io.EOF) {
+		return false
+	}
+	time.Sleep(resetComes)
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return false
+	}
+	read := false
+	err = raw.Control(func(fd uintptr) {
+		failure, err := syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR)
+		read = err == nil && failure == 0
+	})
+	return err == nil && read
+}
+
 // rude opens connections that are of no use: silent ones, half a request, nonsense. All are closed by the node or in time.
 func (c *clients) rude(r *rand.Rand, many int, long time.Duration) {
 	for range many {
--- a/internal/lab/soak/judge.go
+++ b/internal/lab/soak/judge.go
@@ -114,6 +114,7 @@
 	attempts  []*attempt
 	cancelled time.Duration            // 0 is not
 	cut       time.Duration            // the last connection that it was sent on was closed by the node; 0 is not
+	cutRead   bool                     // the node had read it by then
 	ended     map[string]time.Duration // its sessions' ends, by server
 
 	cause          int             // of its last session's end
@@ -190,7 +191,7 @@
 	case requestCanceled:
 		h.cancelled = r.at
 	case requestCut:
-		h.cut = r.at
+		h.cut, h.cutRead = r.at, r.detail == detailRead
 	case answerRead:
 		h.answers = append(h.answers, r)
 		j.report.Answers++
@@ -271,7 +272,7 @@
 		j.report.Cancelled++
 	case j.killedWithin(h.sent.node, h.sent.at-busyMachine, limit):
 		j.report.Excused++
-	case h.cut > 0 && h.cut-h.sent.at <= slack+busyMachine+j.stood(h.sent.node, h.sent.at, h.cut) && len(h.attempts) == 0:
+	case h.cut > 0 && !h.cutRead && h.cut-h.sent.at <= slack+busyMachine+j.stood(h.sent.node, h.sent.at, h.cut) && len(h.attempts) == 0:
 		j.report.Cut++ // it crossed a close
 	case h.cut > 0:
 		j.broken(Answered, id, h.cut, "was read and its connection closed without an answer")
