--- a/internal/lab/soak/client.go
+++ b/internal/lab/soak/client.go
@@ -344,6 +344,8 @@
 
 // ended takes the end of a connection that its client did not close: what crosses such a close is sent once more.
 func (c *clients) ended(on *clientConn, err error) {
+	on.write.Lock() // a request that is being written is among the open ones, and has its instant
+	defer on.write.Unlock()
 	now := c.log.now()
 	on.mu.Lock()
 	mine := on.closed
--- a/internal/lab/soak/dense.go
+++ b/internal/lab/soak/dense.go
@@ -216,24 +216,35 @@
 	s.after(between(r, 0, 500*time.Millisecond), func() { s.restart(n, true, 100*time.Millisecond, offset) })
 }
 
-// playStories plays stories one into another, in an order that the seed gives; each is told by its name.
-func (s *soak) playStories(ctx context.Context) {
-	r := rand.New(rand.NewPCG(s.o.Seed, 0x5708))
+// plannedStory is a story and when it is played; seed is of what it draws.
+type plannedStory struct {
+	at   time.Duration
+	what int
+	seed uint64
+}
+
+// storyOrder draws when stories are played, each once before any comes again.
+func storyOrder(seed uint64, long time.Duration) (list []plannedStory) {
+	r := rand.New(rand.NewPCG(seed, 0x5708))
 	var order []int
-	for at := quietStart; at < s.o.Long-quietEnd; at += time.Duration(r.ExpFloat64() * float64(storyEvery)) {
+	for at := quietStart; at < long-quietEnd; at += time.Duration(r.ExpFloat64() * float64(storyEvery)) {
 		if len(order) == 0 {
-			order = r.Perm(len(stories)) // each once before any comes again
+			order = r.Perm(len(stories))
 		}
-		what := stories[order[0]]
+		list = append(list, plannedStory{at, order[0], r.Uint64()})
 		order = order[1:]
-		draw := rand.New(rand.NewPCG(r.Uint64(), 0x5709)) // how long one takes to play must not shift the next one's draws
-		select {
-		case <-ctx.Done():
+	}
+	return list
+}
+
+// playStories plays stories one into another, in an order that the seed gives; each is told by its name.
+func (s *soak) playStories(ctx context.Context) {
+	for _, p := range storyOrder(s.o.Seed, s.o.Long) {
+		if !pause(ctx, p.at-s.log.now()) {
 			return
-		case <-time.After(at - s.log.now()):
 		}
-		s.tellFault("story: " + what.name)
-		what.play(s, draw)
+		s.tellFault("story: " + stories[p.what].name)
+		stories[p.what].play(s, rand.New(rand.NewPCG(p.seed, 0x5709)))
 	}
 }
 
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -47,6 +48,77 @@
 	}
 }
 
+// A handful of processes under many faults at once keep every invariant.
+func TestDenseSoak(t *testing.T) {
+	p := program(t)
+	for _, seed := range []uint64{1, 3} { // without a crowd, and with one
+		o := Dense()
+		o.Program, o.Folder, o.Seed = p, t.TempDir(), seed
+		r, err := Run(context.Background(), o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !r.OK() || r.Requests < 2000 || r.Served < 300 {
+			var b bytes.Buffer
+			r.Write(&b)
+			t.Errorf("seed %d:\n%s", seed, b.String())
+		}
+	}
+}
+
+// Every story has a name of its own, and a seed plays them in the same order.
+func TestStories(t *testing.T) {
+	seen := map[string]bool{}
+	for _, s := range stories {
+		if s.name == "" || s.play == nil || seen[s.name] {
+			t.Errorf("story %q", s.name)
+		}
+		seen[s.name] = true
+	}
+	if a, b := storyOrder(7, Dense().Long), storyOrder(7, Dense().Long); !slices.Equal(a, b) || len(a) < 10 {
+		t.Errorf("seed 7 plays %v, then %v", a, b)
+	}
+}
+
+// Effects on a server add up, and each ends by itself.
+func TestEffectsOverlap(t *testing.T) {
+	s := &server{log: &log{began: time.Now()}}
+	s.behave(time.Hour, hang)
+	s.behave(20*time.Millisecond, func(b *behavior, _ time.Duration) { b.full = 1 })
+	if b := s.behavior(); b.full != 1 || b.hangs == 0 {
+		t.Errorf("both in force: %+v", b)
+	}
+	time.Sleep(30 * time.Millisecond)
+	if b := s.behavior(); b.full != 0 || b.hangs == 0 {
+		t.Errorf("one over: %+v", b)
+	}
+}
+
+// What the coordinator has counts as told at once, and in an outage within the platform's times.
+func TestToldBy(t *testing.T) {
+	s := time.Second
+	for _, c := range []struct {
+		name               string
+		began, silent, now time.Duration
+		want               time.Duration
+	}{
+		{"no outage", 0, 0, 10 * s, 10 * s},
+		{"in a short outage", 8 * s, 11 * s, 10 * s, 12 * s},
+		{"in a long outage", 8 * s, 16 * s, 10 * s, 17 * s},
+		{"just after a short one", 8 * s, 9 * s, 10 * s, 12 * s},
+		{"well after one", 2 * s, 3 * s, 10 * s, 10 * s},
+	} {
+		k := &coordinator{}
+		for i := range k.doors {
+			k.doors[i] = &door{c: k}
+		}
+		k.doors[1].began, k.doors[1].silent = c.began, c.silent
+		if got := k.toldBy(c.now); got != c.want {
+			t.Errorf("%s: told at %v, not %v", c.name, got, c.want)
+		}
+	}
+}
+
 // caught names the invariant that each sabotage must break.
 var caught = map[frontnode.Sabotage]Invariant{
 	frontnode.SabotageAnswer: Answered, frontnode.SabotageTwice: Answered, frontnode.SabotageRefusal: NotRepeated,
@@ -140,6 +212,13 @@
 		{"after its end", []record{sent, {at: 1100 * ms, kind: requestCanceled, request: id, node: 3}, attempt(1400*ms, "s-1")}, NotAfterEnd},
 		{"told longer", []record{sent, {at: 2000 * ms, kind: attemptRead, request: id, server: "s-1", rung: 1, wait: 900 * ms}, read(2100*ms, 500, "")}, Deadline},
 		{"below the floor", []record{sent, {at: 1010 * ms, kind: attemptRead, request: id, server: "s-1", rung: 0}, read(1100*ms, 500, "")}, Terms},
+		{"never released", append(append([]record{}, clean...), record{at: 2 * time.Second, kind: sessionEnded, request: id, server: "s-2", status: 16}, record{at: 2 * time.Second, kind: releaseWritten, request: id, server: "s-2", node: 3}), Released},
+		{"released late", append(append([]record{}, clean...), record{at: 2 * time.Second, kind: sessionEnded, request: id, server: "s-2", status: 16}, record{at: 2 * time.Second, kind: releaseWritten, request: id, server: "s-2", node: 3}, record{at: 3500 * ms, kind: releaseRead, request: id, node: 3}), Released},
+		{"its server died and nothing was said", append(append([]record{}, clean...), record{at: 2 * time.Second, kind: serverDied, server: "s-2", node: -1}), Released},
+		{"too many descriptors", []record{{at: time.Second, kind: nodeMeasured, node: 3, descriptors: sockets + 1}}, Limits},
+		{"too much memory", []record{{at: time.Second, kind: nodeMeasured, node: 3, megabytes: memoryMB + 1}}, Limits},
+		{"a complaint", []record{{at: time.Second, kind: nodeComplained, node: 3, detail: "panic: x"}}, Guarded},
+		{"read and closed at once", []record{sent, {at: 1020 * ms, kind: requestCut, request: id, node: 3, detail: detailRead}}, Answered},
 		{"drained", []record{sent, {at: 100 * ms, kind: entryTold, server: "s-1", detail: "draining", wait: 100 * ms}, attempt(1010*ms, "s-1"), read(1100*ms, 500, "")}, Drained},
 	} {
 		r := judge(c.list, Usual())
