--- a/internal/lab/soak/judge.go
+++ b/internal/lab/soak/judge.go
@@ -207,9 +207,9 @@
 		if a := h.last(r.server); a != nil {
 			a.until = min(a.until, max(r.at-r.held, a.read.at))
 		}
-		h.ended[r.server] = r.at - r.held
+		h.over(r.server, r.at-r.held)
 	case sessionEnded:
-		h.ended[r.server] = r.at
+		h.over(r.server, r.at)
 		h.cause = r.status
 	case releaseWritten:
 		h.releaseWritten = max(h.releaseWritten, r.at)
@@ -218,6 +218,13 @@
 	}
 }
 
+// over takes a session's end at a server: the first one that is seen.
+func (h *history) over(server string, at time.Duration) {
+	if _, known := h.ended[server]; !known {
+		h.ended[server] = at
+	}
+}
+
 // last is the request's last attempt at a server.
 func (h *history) last(server string) *attempt {
 	for _, a := range slices.Backward(h.attempts) {
--- a/internal/node/ending_test.go
+++ b/internal/node/ending_test.go
@@ -179,3 +179,19 @@
 		})
 	}
 }
+
+// A connection is reset under a SETUP, whose session may stand at its server all the same: the server is told that nobody wants it,
+// over a new connection where there is none.
+func TestResetAttemptIsWithdrawn(t *testing.T) {
+	f, s1 := single(t, 256)
+	v := f.client()
+	v.setup(id(1), "free", "")
+	x, _ := f.wanted(rtsp.Setup, s1)
+	x.on.Conn.(*net.TCPConn).SetLinger(0)
+	x.on.Close()
+	v.want("503")
+	y, _ := f.wanted(rtsp.TearDown, s1)
+	if y.m.Session() != id(1) || y.on == x.on {
+		t.Errorf("%s is withdrawn", y.m.Session())
+	}
+}
