Withdraw every attempt whose connection broke, over a new connection where none is open

Change: disown opens a connection; where its address refuses one nothing stands there any more and nothing is owed.

--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -164,7 +164,7 @@
 		n.stands(s, m)
 	case m.Status == rtsp.OK: // an answer without a description is spoilt
 		l := s.on
-		n.disown(s, true)
+		n.disown(s)
 		n.retire(l)
 	case m.Status == rtsp.NotEnoughBandwidth:
 		n.setupOver(s, choice.Full, readReport(m))
--- a/internal/node/serverconn.go
+++ b/internal/node/serverconn.go
@@ -139,15 +139,10 @@
 // errAstray ends a connection on which what follows a message is none.
 var errAstray = errors.New("what follows a message is none")
 
-// disown has a server end what a SETUP may have set up there although its answer can't be had: it would stand unasked. Where
-// the answer was spoilt the server lives and surely holds it, so a connection is opened for that if there is none.
-func (n *Node) disown(s *session, spoilt bool) {
-	b := tearDown(s.url, s.id, causeMoved)
-	if spoilt {
-		n.toServer(s.server, b)
-	} else {
-		n.say(s.server, b)
-	}
+// disown has a server end what a SETUP may have set up there although its answer can't be had: it would stand unasked. A
+// connection is opened for that if there is none.
+func (n *Node) disown(s *session) {
+	n.toServer(s.server, tearDown(s.url, s.id, causeMoved))
 }
 
 // notOpened takes it that a connection could not be opened: nothing ran.
@@ -166,8 +161,11 @@
 	}
 	// Nothing listens there: the process is dead, and with it what stood there; unless another connection to it is up, as
 	// a server that is full of connections refuses further ones.
-	if refused && len(sv.held) > 0 && !slices.ContainsFunc(sv.conns, func(l *link) bool { return l.up && !l.isEnding() }) {
-		n.lost(sv)
+	if refused && !slices.ContainsFunc(sv.conns, func(l *link) bool { return l.up && !l.isEnding() }) {
+		sv.owed = nil
+		if len(sv.held) > 0 {
+			n.lost(sv)
+		}
 	}
 }
 
@@ -226,11 +224,9 @@
 	n.drop(l)
 	n.log.Debug("connection to a server ended", str("server", l.sv.id), str("why", errText(err)), num("open", len(l.open)))
 	n.failTest(l, choice.Reset)
-	var bad *rtsp.MalformedError
-	spoilt := errors.As(err, &bad) || errors.Is(err, errAstray)
 	for _, s := range slices.Clone(l.open) {
 		if s.from >= 0 && s.from < left {
-			n.disown(s, spoilt)
+			n.disown(s)
 			n.setupOver(s, choice.Reset, noReport)
 			continue
 		}
