--- a/internal/node/ending_test.go
+++ b/internal/node/ending_test.go
@@ -195,3 +195,21 @@
 		t.Errorf("%s is withdrawn", y.m.Session())
 	}
 }
+
+// A request is read and answered as its connection is closed as unused, and the answer has not been written when the reader has
+// stopped: it leaves before the close.
+func TestAnswerNotWrittenAsItsConnectionIsClosed(t *testing.T) {
+	f := newFarm(t, 256, func(f *farm) []*host {
+		f.slow = 50 * time.Millisecond
+		return nil
+	})
+	v := f.client()
+	v.say("OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n")
+	v.want("200")
+	f.held(
+		func() { v.setup(id(1), "free", "") },
+		func() { f.node.clients[0].Used = -100; f.node.sweep(); f.node.events <- event{do: func() {}} },
+	)
+	v.want("503") // no server holds it
+	v.want("closed")
+}
--- a/internal/node/standin_test.go
+++ b/internal/node/standin_test.go
@@ -234,6 +234,31 @@
 	reread  func() (*start.Start, error)
 	network Network           // the system's where it is nil
 	logged  func(what string) // hears of each line of the log as it is written
+	slow    time.Duration     // what the node writes to clients leaves so much later
+}
+
+// slowListener accepts connections on which each write takes so much longer.
+type slowListener struct {
+	net.Listener
+	long time.Duration
+}
+
+func (l slowListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return slowConn{c, l.long}, nil
+}
+
+type slowConn struct {
+	net.Conn
+	long time.Duration
+}
+
+func (c slowConn) Write(b []byte) (int, error) {
+	time.Sleep(c.long)
+	return c.Conn.Write(b)
 }
 
 // feedPeer is the coordinator's end of a connection, and the number that it was asked to follow.
@@ -276,6 +301,9 @@
 		t.Fatal(err)
 	}
 	f.addr = l.Addr().String()
+	if f.slow > 0 {
+		l = slowListener{l, f.slow}
+	}
 	log := zap.New(zapcore.RegisterHooks(zapcore.NewCore(zapcore.NewJSONEncoder(zapcore.EncoderConfig{}), zapcore.AddSync(io.Discard), zap.InfoLevel), f.hear))
 	if os.Getenv("NODE_TEST_LOG") != "" {
 		log, _ = zap.NewDevelopment(zap.Hooks(f.hear))
