--- a/cmd/rainhaven/main.go
+++ b/cmd/rainhaven/main.go
@@ -68,6 +68,9 @@
 	return code
 }
 
+// trialCommands are further commands of a program that was built with the tag trials.
+var trialCommands []func() *cobra.Command
+
 func command() *cobra.Command {
 	root := &cobra.Command{
 		Use:   "rainhaven",
@@ -77,7 +80,10 @@
 		SilenceErrors: true, SilenceUsage: true,
 		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
 	}
-	root.AddCommand(frontCommand(), nodeCommand(), boxCommand(), playCommand(), dayCommand(), checkCommand(), migrateCommand(), tryCommand(), measureCommand(), stormCommand(), soakCommand(), fleetCommand(), ctlCommand(), versionCommand())
+	root.AddCommand(frontCommand(), nodeCommand(), boxCommand(), playCommand(), dayCommand(), checkCommand(), migrateCommand(), tryCommand(), measureCommand(), stormCommand(), fleetCommand(), ctlCommand(), versionCommand())
+	for _, c := range trialCommands {
+		root.AddCommand(c())
+	}
 	return root
 }
 
--- a/cmd/rainhaven/node.go
+++ b/cmd/rainhaven/node.go
@@ -7,19 +7,20 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
-	"time"
 
 	"github.com/spf13/cobra"
 
-	"rainhaven/internal/lab/faults"
 	"rainhaven/internal/node"
 	"rainhaven/internal/node/start"
 )
 
+// trialFlags adds the flags of trials to a node's command, and gives what they do to its options; nil in a program that was built
+// without the tag trials.
+var trialFlags func(*cobra.Command) func(*node.Options) error
+
 func nodeCommand() *cobra.Command {
-	var level, format, sabotage string
-	var clockOffset time.Duration
-	var networkFaults uint64
+	var level, format string
+	trials := func(*node.Options) error { return nil }
 	c := &cobra.Command{Use: "node", Short: "Run as a front node of the platform that GW_CONFIG describes, until SIGTERM; SIGHUP reads that file again",
 		Example: "  GW_CONFIG=/run/balancer/config.json rainhaven node", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
@@ -48,14 +49,10 @@
 				// Three fifths for the heap: the rest is for stacks, the program itself and what the kernel counts.
 				debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * 3 / 5)
 			}
-			spoil, err := node.ParseSabotage(sabotage)
-			if err != nil {
+			o := node.Options{Start: s, Reread: read, Log: log, Hangups: hangups, Ends: ends}
+			if err := trials(&o); err != nil {
 				return err
 			}
-			o := node.Options{Start: s, Reread: read, Log: log, Hangups: hangups, Ends: ends, WallOffset: clockOffset, Sabotage: spoil}
-			if networkFaults != 0 {
-				o.Network = faults.New(networkFaults, faults.Usual)
-			}
 			code, err := node.Run(o)
 			if err != nil {
 				return failure{int(code), fmt.Errorf("node: %w", err)}
@@ -63,11 +60,8 @@
 			return nil
 		}}
 	logFlags(c, &level, &format)
-	c.Flags().StringVar(&sabotage, "sabotage", "", "break a rule, for trials of the soak")
-	c.Flags().DurationVar(&clockOffset, "clock-offset", 0, "start by a wall clock that is off by so much, for the soak")
-	c.Flags().Uint64Var(&networkFaults, "network-faults", 0, "have system calls of the network fail by this seed, for the soak")
-	for _, name := range []string{"sabotage", "clock-offset", "network-faults"} {
-		c.Flags().MarkHidden(name)
+	if trialFlags != nil {
+		trials = trialFlags(c)
 	}
 	return c
 }
--- a/cmd/rainhaven/soak.go
+++ b/cmd/rainhaven/soak.go
@@ -1,3 +1,5 @@
+//go:build trials
+
 package main
 
 import (
--- a/internal/node/acts.go
+++ b/internal/node/acts.go
@@ -42,7 +42,7 @@
 		n.feed(wire.Event{Kind: wire.Ended, Request: choice.Request{ID: id}, Server: number, Outcome: choice.Unsent, Report: noReport})
 		return
 	}
-	wait = n.sabotage.wait(wait)
+	wait = n.trials.wait(wait)
 	s.history.note(n.now, stepAttempt, sv.id)
 	s.state, s.server, s.until, s.resent, s.local = attempting, sv, n.now+wait, 0, 0
 	s.waiting = n.after(wait, func() { n.timedOut(s) })
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -74,10 +74,11 @@
 			}
 		}
 		if v.wasStopped(err) {
-			if !n.tell(event{do: func() { n.readerStopped(v, in.Buffered() > 0) }}) || !v.mayGoOn(n.ctx) {
-				break
+			if n.tell(event{do: func() { n.readerStopped(v, in.Buffered() > 0) }}) && v.mayGoOn(n.ctx) {
+				continue
 			}
-			continue
+			v.awaitFlush(n.ctx) // the last answer may not have been written yet
+			break
 		}
 		n.readFailed(v, err)
 		break
@@ -92,7 +93,7 @@
 	var bad *rtsp.MalformedError
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 		if n.tell(event{do: func() { n.sendingEnded(v) }}) {
-			v.awaitFlush()
+			v.awaitFlush(n.ctx)
 		}
 		return
 	}
--- a/internal/node/close.go
+++ b/internal/node/close.go
@@ -19,7 +19,7 @@
 	}
 	n.log.Debug("a client's connection is to be closed", str("from", v.peer()), str("why", string(why)), num("rank", v.Rank(n.now)))
 	v.stopping = why
-	if n.sabotage == SabotageClose {
+	if n.trials.hasty() {
 		v.cut()
 		return
 	}
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"net"
 	"slices"
 	"sync"
@@ -288,13 +289,15 @@
 	}
 }
 
-// awaitFlush waits until all that was queued on a connection that is being closed has been written, or for so long as its peer may take.
-func (c *conn) awaitFlush() {
+// awaitFlush waits until all that was queued on a connection that is being closed has been written, for so long as its peer may
+// take, and not past the end of the context.
+func (c *conn) awaitFlush(ctx context.Context) {
 	timeout := time.NewTimer(parting)
 	defer timeout.Stop()
 	select {
 	case <-c.ended:
 	case <-timeout.C:
+	case <-ctx.Done():
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,17 +67,17 @@
 	wg     sync.WaitGroup
 	events chan event
 
-	network  Network
-	sabotage Sabotage
-	front    *choice.Front
-	guard    *invariant.Guard
-	life     *lifecycle.Life
-	began    time.Time
-	epoch    float64 // the wall clock at began, in seconds
-	now      float64
-	due      float64 // the module's wake-up
-	ready    bool
-	over     bool
+	network Network
+	trials  Trials
+	front   *choice.Front
+	guard   *invariant.Guard
+	life    *lifecycle.Life
+	began   time.Time
+	epoch   float64 // the wall clock at began, in seconds
+	now     float64
+	due     float64 // the module's wake-up
+	ready   bool
+	over    bool
 
 	sessions  map[string]*session         // emptied by final answers and ends
 	servers   []*server                   // in the order of the list; emptied by settleServer
@@ -140,10 +140,8 @@
 	Ends    <-chan os.Signal // to drain, then to cut
 	// Network opens and accepts connections; the system's where it is nil.
 	Network Network
-	// WallOffset is how far the wall clock that the node starts by is off, for trials.
-	WallOffset time.Duration
-	// Sabotage has the node break a rule, for trials of whoever judges it.
-	Sabotage Sabotage
+	// Trials is how the node departs from the usual, for trials of whoever judges it.
+	Trials Trials
 	// Listener is used where it is given, in place of the address of Start.
 	Listener net.Listener
 	serving  func(*Node) // for tests
@@ -154,12 +152,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{start: o.Start, reread: o.Reread, log: o.Log, ctx: ctx, events: make(chan event, queue), began: time.Now(),
 		sessions: map[string]*session{}, numbers: map[choice.ServerID]*server{}, byID: map[string]*server{}, past: map[string]*server{}, early: map[string]bool{},
-		counts: map[string]int{}, network: o.Network, sabotage: o.Sabotage}
+		counts: map[string]int{}, network: o.Network, trials: o.Trials}
 	if n.network == nil {
 		n.network = systemNetwork{}
 	}
-	n.epoch = float64(n.began.Add(o.WallOffset).UnixNano()) / 1e9
-	o.Sabotage.prepare(o.Start)
+	n.epoch = float64(n.began.Add(o.Trials.wallOffset()).UnixNano()) / 1e9
+	o.Trials.prepare(o.Start)
 	defer n.wg.Wait()
 	defer cancel()
 	n.tick()
@@ -231,7 +229,7 @@
 		case <-hangups:
 			e.do = func() { n.life.At(n.now); n.life.Hangup() }
 		case sig := <-ends:
-			if n.sabotage == SabotageExit {
+			if n.trials.deaf() {
 				break
 			}
 			e.do = func() { n.life.At(n.now); n.life.Terminate(sig.String()) }
@@ -328,7 +326,7 @@
 			n.log.Warn("an entry of the list is passed over", str("why", err.Error()))
 			continue
 		}
-		entry = n.sabotage.entry(entry)
+		entry = n.trials.entry(entry)
 		anew := sv.startTold(i.StartedAtMs)
 		if anew {
 			sv.born = n.started(i.StartedAtMs)
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -59,10 +59,7 @@
 		n.setupOver(s, choice.Unsent, noReport)
 		return
 	}
-	if n.sabotage == SabotageDeadline {
-		wait += longerDeadline
-	}
-	s.from, s.to = l.send(setup(s, wait))
+	s.from, s.to = l.send(setup(s, n.trials.told(wait)))
 	s.history.note(n.now, stepSent, l.peer())
 	l.used = n.now
 	n.copyElsewhere(s)
