--- a/internal/lab/soak/client.go
+++ b/internal/lab/soak/client.go
@@ -9,9 +9,10 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"rainhaven/internal/rtsp"
 )
 
@@ -392,14 +393,18 @@
 	if err != nil {
 		return false
 	}
-	read := false
+	reset := true
 	err = raw.Control(func(fd uintptr) {
-		failure, err := syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR)
-		read = err == nil && failure == 0
+		// The state tells; the socket's pending error may have been taken by a write since.
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		reset = err != nil || info.State == tcpClosed
 	})
-	return err == nil && read
+	return err == nil && !reset
 }
 
+// tcpClosed is the state of a connection that was reset, in TCP_INFO.
+const tcpClosed = 7
+
 // rude opens connections that are of no use: silent ones, half a request, nonsense. All are closed by the node or in time.
 func (c *clients) rude(r *rand.Rand, many int, long time.Duration) {
 	for range many {
