--- a/choice/share/share.go
+++ b/choice/share/share.go
@@ -9,6 +9,10 @@
 	return max(min(descriptors*55/100, descriptors*90/100-servers), descriptors*36/100, 8)
 }
 
+// Newcomers is how many viewers' connections past their share are accepted before others have given way to them. Harm: so many
+// descriptors less of the tenth that is nobody's.
+const Newcomers = 4
+
 // PerServer is how many connections one server may have: what viewers, the coordinator and the program itself leave,
 // split among the servers, within 1 to 8. A SETUP has a connection for itself where it can, as a spoilt answer ends
 // all that its connection carries.
--- /dev/null
+++ b/internal/node/accept_test.go
@@ -0,0 +1,39 @@
+package node
+
+import (
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"rainhaven/choice/share"
+)
+
+// Connections that come while the loop has no time for them are bounded as the others are: what it has not heard of holds a
+// descriptor as well. Once it has time again they are taken, and the newest is served.
+func TestConnectionsThatTheLoopHasNotHeardOf(t *testing.T) {
+	const sockets, many = 64, 120
+	most := int64(share.Viewers(sockets, 0) + share.Newcomers)
+	var open atomic.Int64
+	f := newFarm(t, sockets, func(f *farm) []*host {
+		f.clients = &open
+		return nil
+	})
+	f.see(func(*Node) {
+		for range many {
+			c, err := net.Dial("tcp", f.addr)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+		}
+		time.Sleep(50 * time.Millisecond)
+		if n := open.Load(); n > most {
+			t.Errorf("%d connections are held, %d may be", n, most)
+		}
+	})
+	v := f.client()
+	v.setup(id(1), "free", "")
+	v.want("503") // no server holds it
+}
--- a/internal/node/standin_test.go
+++ b/internal/node/standin_test.go
@@ -235,6 +235,33 @@
 	network Network           // the system's where it is nil
 	logged  func(what string) // hears of each line of the log as it is written
 	slow    time.Duration     // what the node writes to clients leaves so much later
+	clients *atomic.Int64     // counts the clients' connections that the node holds, where it is given
+}
+
+// countingListener counts the accepted connections that are open.
+type countingListener struct {
+	net.Listener
+	open *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.open.Add(1)
+	return &countedConn{Conn: c, open: l.open}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	open *atomic.Int64
+	once sync.Once
+}
+
+func (c *countedConn) Close() error {
+	c.once.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
 }
 
 // slowListener accepts connections on which each write takes so much longer.
@@ -304,6 +331,9 @@
 	if f.slow > 0 {
 		l = slowListener{l, f.slow}
 	}
+	if f.clients != nil {
+		l = countingListener{l, f.clients}
+	}
 	log := zap.New(zapcore.RegisterHooks(zapcore.NewCore(zapcore.NewJSONEncoder(zapcore.EncoderConfig{}), zapcore.AddSync(io.Discard), zap.InfoLevel), f.hear))
 	if os.Getenv("NODE_TEST_LOG") != "" {
 		log, _ = zap.NewDevelopment(zap.Hooks(f.hear))
