Bound the clients' connections that are held, whether the loop has heard of them or not

Change: places (accept.go) counts what is accepted and not closed; past the loop's bound and four newcomers none is accepted until one is free.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -4,10 +4,8 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"os"
 	"slices"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -29,30 +27,6 @@
 	held     []*session  // asked or standing with this connection; emptied as they end
 }
 
-// accept takes clients' connections until the listener is closed.
-func (n *Node) accept(l net.Listener) {
-	defer n.wg.Done()
-	defer close(n.accepting)
-	for {
-		nc, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil { // descriptors are short: those that give way free some
-			n.tell(event{do: n.makeRoom})
-			time.Sleep(5 * time.Millisecond)
-			continue
-		}
-		v := &client{conn: newConn(nc, n.log), readControl: newReadControl(nc)}
-		if !n.tell(event{do: func() { n.opened(v) }}) {
-			v.close()
-			return
-		}
-		n.wg.Add(1)
-		go n.readClient(v)
-	}
-}
-
 // readClient hands the loop what a client sends, until its connection ends or the loop has it stopped.
 func (n *Node) readClient(v *client) {
 	defer n.wg.Done()
@@ -84,6 +58,7 @@
 		break
 	}
 	v.close()
+	n.places.free()
 	n.tell(event{do: func() { n.closedClient(v) }})
 }
 
@@ -134,6 +109,7 @@
 // makeRoom closes clients' connections past their share of descriptors: those who give way first.
 func (n *Node) makeRoom() {
 	most := share.Viewers(n.start.Sockets, n.links())
+	n.places.setMost(most)
 	open, ending := 0, 0
 	for _, v := range n.clients {
 		if v.isEnding() || v.stopping != "" {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -87,6 +87,7 @@
 	early     map[string]bool             // releases of sessions not known (yet); emptied by their timeouts
 	owed      []owed                      // releases without a client's connection; emptied by time
 	clients   []*client
+	places    *places       // for clients' connections
 	accepting chan struct{} // closed once no further connection is accepted
 	open      int           // requests without their answers
 	timeouts  timeouts
@@ -152,7 +153,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{start: o.Start, reread: o.Reread, log: o.Log, ctx: ctx, events: make(chan event, queue), began: time.Now(),
 		sessions: map[string]*session{}, numbers: map[choice.ServerID]*server{}, byID: map[string]*server{}, past: map[string]*server{}, early: map[string]bool{},
-		counts: map[string]int{}, network: o.Network, trials: o.Trials}
+		counts: map[string]int{}, network: o.Network, trials: o.Trials,
+		places: newPlaces(share.Viewers(o.Start.Sockets, 0))}
 	if n.network == nil {
 		n.network = systemNetwork{}
 	}
@@ -188,6 +190,7 @@
 		o.serving(n)
 	}
 	n.loop(o.Hangups, o.Ends)
+	close(n.places.over)
 	l.Close()
 	n.finish()
 	n.log.Info("over", zap.Any("counts", n.counts))
