Stop a reader surely, and let it finish a message whose rest is on its way

Change: goOn takes back the stop itself, so that a later one holds; a forced stop leaves 20 ms for the rest of a message, also of one that begins then, within the 30 ms that the exit has for its readers.

--- a/internal/node/readcontrol.go
+++ b/internal/node/readcontrol.go
@@ -18,6 +18,7 @@
 	in      net.Conn
 	mu      sync.Mutex
 	asked   bool // the loop wants it to stop
+	forced  bool // also within a message
 	within  bool // it reads a message of which something has come
 	first   bool // no message was read yet
 	verdict chan bool
@@ -33,20 +34,33 @@
 	return readControl{in: nc, verdict: make(chan bool, 1)}
 }
 
-// stop asks the reader to stop at the next end of a message, or, by force, also within one.
+// restOfMessage is how long a reader that is stopped by force may take for the rest of a message of which it has read a part.
+const restOfMessage = 20 * time.Millisecond
+
+// stop asks the reader to stop at the next end of a message, or, by force, soon also within one.
 func (r *readControl) stop(force bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.asked {
 		return
 	}
-	if r.asked = true; force || !r.within {
+	r.asked, r.forced = true, force
+	switch {
+	case !r.within:
 		r.in.SetReadDeadline(past)
+	case force:
+		r.in.SetReadDeadline(time.Now().Add(restOfMessage))
 	}
 }
 
 // goOn has a reader that has stopped read on.
-func (r *readControl) goOn() { r.verdict <- true }
+func (r *readControl) goOn() {
+	r.mu.Lock()
+	r.asked, r.forced = false, false
+	r.limit()
+	r.mu.Unlock()
+	r.verdict <- true
+}
 
 // done tells a reader that has stopped that its connection is closed.
 func (r *readControl) done() { r.verdict <- false }
@@ -55,17 +69,10 @@
 func (r *readControl) mayGoOn(ctx context.Context) bool {
 	select {
 	case goOn := <-r.verdict:
-		if !goOn {
-			return false
-		}
+		return goOn
 	case <-ctx.Done():
 		return false
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.asked = false
-	r.limit()
-	return true
 }
 
 // wasStopped tells whether a read ended because the loop asked for it.
@@ -87,7 +94,11 @@
 func (r *readControl) messageBegan() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.within = true; !r.first {
+	r.within = true
+	switch {
+	case r.asked && r.forced:
+		r.in.SetReadDeadline(time.Now().Add(restOfMessage))
+	case r.asked || !r.first:
 		r.limit()
 	}
 }
