--- a/internal/lab/soak/server.go
+++ b/internal/lab/soak/server.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,27 +19,6 @@
 	causeCut   = 41
 )
 
-// behavior says how a server treats attempts at present: chances from 0 to 1, and times.
-type behavior struct {
-	full, failing, moot, reset float64       // refuses, by kind
-	lost                       float64       // its answer never leaves
-	early                      float64       // its release leaves before its answer
-	double                     float64       // a second answer follows
-	spoilt                     float64       // its answer's length is wrong
-	cut                        float64       // the connection is reset in place of the answer
-	pieces                     float64       // what it writes leaves in pieces
-	closed                     float64       // the connection is closed as soon as the attempt was read
-	slow                       time.Duration // an answer takes up to so much longer
-	hangs                      time.Duration // it reads and says nothing until then
-	vanished                   time.Duration // what is sent to it or by it arrives then, as over a network that was cut
-}
-
-// effect changes a server's behavior until an instant. Effects add up, and each ends by itself.
-type effect struct {
-	until  time.Duration
-	change func(b *behavior, until time.Duration)
-}
-
 const (
 	// usualAnswer is what an answer takes at most.
 	usualAnswer = 30 * time.Millisecond
@@ -77,14 +55,6 @@
 	dead     bool
 }
 
-// pendingRelease is a release that goes over the next connection opened as well.
-type pendingRelease struct {
-	id      string
-	bytes   []byte
-	ended   time.Duration
-	written time.Duration
-}
-
 // standing is a session at a server, from its attempt's arrival on.
 type standing struct {
 	id     string
@@ -114,36 +84,6 @@
 	return s, nil
 }
 
-// behave changes how it treats attempts, for so long.
-func (s *server) behave(long time.Duration, change func(b *behavior, until time.Duration)) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.effects = append(s.effects, effect{s.log.now() + long, change})
-}
-
-// behavior is what all effects in force add up to; the lock is held.
-func (s *server) behavior() (b behavior) {
-	now := s.log.now()
-	s.effects = slices.DeleteFunc(s.effects, func(e effect) bool { return e.until <= now })
-	for _, e := range s.effects {
-		e.change(&b, e.until)
-	}
-	return b
-}
-
-// awaitReturn waits until what is sent to a server or by it arrives again; it tells how long that took.
-func (s *server) awaitReturn() time.Duration {
-	s.mu.Lock()
-	began := s.log.now()
-	until := s.behavior().vanished
-	s.mu.Unlock()
-	if until <= began {
-		return 0
-	}
-	time.Sleep(until - began)
-	return until - began + s.awaitReturn() // it may have vanished again meanwhile
-}
-
 // chance draws with the lock held.
 func (s *server) chance(p float64) bool { return p > 0 && s.rand.Float64() < p }
 
@@ -167,20 +107,6 @@
 	}
 }
 
-// repeatReleases sends the releases written before on this connection as well, as the platform's servers do. Whose it is
-// is not known yet; to other nodes they say nothing.
-func (c *serverConn) repeatReleases() {
-	c.s.awaitReturn()
-	c.s.mu.Lock()
-	now := c.s.log.now()
-	c.s.pending = slices.DeleteFunc(c.s.pending, func(r pendingRelease) bool { return now-r.ended > keepPending })
-	list := slices.Clone(c.s.pending)
-	c.s.mu.Unlock()
-	for _, r := range list {
-		c.sayRelease(r)
-	}
-}
-
 // kill ends the process: its connections are reset, its sessions cut.
 func (s *server) kill() {
 	s.mu.Lock()
@@ -435,84 +361,6 @@
 	}
 }
 
-// release ends a session that stands.
-func (s *server) release(x *standing, cause int) {
-	s.mu.Lock()
-	delete(s.sessions, x.id)
-	on := []*serverConn{x.on}
-	if !s.conns[x.on] {
-		on = s.connsFor(nodeOf(x.id))
-	}
-	s.mu.Unlock()
-	s.log.add(record{kind: sessionEnded, request: x.id, server: s.id, node: nodeOf(x.id), status: cause})
-	r := pendingRelease{id: x.id, ended: s.log.now(), bytes: []byte(fmt.Sprintf("TEARDOWN %s RTSP/1.0\r\nCSeq: 2\r\nSession: %s\r\nReason: cause=%d\r\nContent-Length: 0\r\n\r\n", x.url, x.id, cause))}
-	s.mu.Lock()
-	if len(s.pending) < mostPending {
-		s.pending = append(s.pending, r)
-	}
-	s.mu.Unlock()
-	for _, c := range on {
-		c.sayRelease(r)
-	}
-}
-
-// connsFor gives the connections on which a node surely hears: one of its own, or, where none is known as such, all that may be.
-// The lock is held.
-func (s *server) connsFor(node int) (list []*serverConn) {
-	for c := range s.conns {
-		if c.node == node {
-			return []*serverConn{c}
-		}
-		if c.node < 0 {
-			list = append(list, c)
-		}
-	}
-	return list
-}
-
-// sayRelease writes a release, and records that it was written.
-func (c *serverConn) sayRelease(r pendingRelease) {
-	if !c.say(r.bytes) {
-		return
-	}
-	r.written = c.s.log.now()
-	c.s.mu.Lock()
-	defer c.s.mu.Unlock()
-	c.recordRelease(r)
-	if c.recent = append(c.recent, r); len(c.recent) > mostPending {
-		c.recent = c.recent[1:]
-	}
-}
-
-// recordRelease records that a release was written, where it went to the node that it concerns; the server's lock is held.
-func (c *serverConn) recordRelease(r pendingRelease) {
-	if c.node == nodeOf(r.id) {
-		c.s.log.add(record{at: r.written, kind: releaseWritten, request: r.id, server: c.s.id, node: c.node, peer: c.RemoteAddr().String()})
-	}
-}
-
-// resendReleases sends what was written to a connection just before its end over another one, or keeps it for the next.
-func (c *serverConn) resendReleases() {
-	s := c.s
-	var list []pendingRelease
-	s.mu.Lock()
-	for _, r := range c.recent {
-		if s.log.now()-r.written < surelyArrives {
-			list = append(list, r)
-		}
-	}
-	others, dead := s.connsFor(c.node), s.dead
-	s.mu.Unlock()
-	if dead {
-		return
-	}
-	for _, o := range others { // where there are none it goes over the next one
-		for _, r := range list {
-			o.sayRelease(r)
-		}
-	}
-}
-
 // givenUp takes a TEARDOWN, which was on its way for so long.
 func (c *serverConn) givenUp(m *rtsp.Message, away time.Duration) {
 	s := c.s
