--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -236,7 +236,7 @@
 
 // Setup sends a set-up.
 func (f *Front) Setup(id, class, title string, patience time.Duration, facts string) {
-	f.Send(Format("SETUP rtsp://media/"+title+" RTSP/1.0", "c=IN IP4 10.4.7.9\r\nm=video 31000 RTP/AVP 96\r\n", "CSeq: 1", "Session: "+id, "Subject: "+class,
+	f.Send(Format("SETUP rtsp://media/"+title+" RTSP/1.0", "c=IN IP4 127.0.0.1\r\nm=video 31000 RTP/AVP 96\r\n", "CSeq: 1", "Session: "+id, "Subject: "+class,
 		fmt.Sprintf("X-Patience: %d", patience.Milliseconds()), "X-Facts: "+facts))
 }
 
