node: send a session's release over whichever client connection is open

The node answered the servers' releases and dropped its own after 8 s, with a tested connection open all the time. Cause: sendRelease considered only the session's own connection and those on which a session had been served; a connection that had only probed, been refused, named sessions with 'at', or said nothing was never used, and the retries asked the same question. What went over a connection that may be a monitor's is sent again on a better one, or if it closes, for up to 8 s.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -20,6 +20,7 @@
 	share.ConnUsage
 	readControl
 	hasServed     bool // a session was served on this connection, or handed over on it
+	lastHeard     float64
 	closed        bool
 	pendingClose  closeReason // reason for closing it once its reader has stopped; empty if it stays open
 	readerStopped bool        // its reader has passed on all that it read
@@ -101,7 +102,7 @@
 
 // clientOpened registers a new connection of a client.
 func (n *Node) clientOpened(cl *client) {
-	cl.OpenedAt, cl.LastUsed = n.now, n.now
+	cl.OpenedAt, cl.LastUsed, cl.lastHeard = n.now, n.now, n.now
 	n.counts["viewers"]++
 	n.clients = append(n.clients, cl)
 	n.enforceClientLimit()
@@ -212,8 +213,8 @@
 	n.log.Debug("client connection ended", str("from", cl.peer()), str("why", errText(cl.readErr)), str("closed", string(cl.pendingClose)), zap.Bool("spoke", cl.SentMessage), zap.Float64("age", n.now-cl.OpenedAt), num("open", cl.Pending), num("standing", cl.Established))
 	n.abortOpenRequests(cl, false)
 	n.clients = slices.DeleteFunc(n.clients, func(o *client) bool { return o == cl })
-	for _, b := range cl.undelivered(n.now, cl.writtenTotal) {
-		n.sendRelease(nil, b)
+	for _, m := range cl.undelivered(n.now, cl.writtenTotal) {
+		n.releaseOnAnyConn(m.id, m.data)
 	}
 	for _, s := range slices.Clone(cl.sessions) {
 		s.client = nil
@@ -230,7 +231,7 @@
 		n.log.Debug("ignored a message on a closed connection", str("from", cl.peer()), str("method", m.Method), str("sess", m.Session()))
 		return
 	}
-	cl.SentMessage, cl.LastUsed = true, n.now
+	cl.SentMessage, cl.LastUsed, cl.lastHeard = true, n.now, n.now
 	switch m.Method {
 	case rtsp.Setup:
 		n.handleSetup(cl, m, readAt)
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -144,13 +144,14 @@
 // retainedMessage is a message that is not tied to a connection: if its connection ends before it must have arrived,
 // it is sent over another one.
 type retainedMessage struct {
+	id       string // of the session that it is about
 	data     []byte
 	end      int64 // offset of its end in all that the connection sends
 	queuedAt float64
 }
 
-// sendRetained queues a message as send does and retains it for the case that the connection ends.
-func (c *conn) sendRetained(now float64, data []byte) bool {
+// sendRetained queues a message about a session as send does and retains it for the case that the connection ends.
+func (c *conn) sendRetained(now float64, id string, data []byte) bool {
 	_, to := c.send(data)
 	if to < 0 {
 		return false
@@ -162,16 +163,16 @@
 	if len(c.retained) >= maxRetainedMessages { // the oldest is the most likely to have arrived
 		c.retained = slices.Delete(c.retained, 0, 1)
 	}
-	c.retained = append(c.retained, retainedMessage{data, to, now})
+	c.retained = append(c.retained, retainedMessage{id, data, to, now})
 	return true
 }
 
 // undelivered returns the retained messages that may not have arrived, given how many bytes were written by the end of
 // the connection.
-func (c *conn) undelivered(now float64, written int64) (list [][]byte) {
+func (c *conn) undelivered(now float64, written int64) (list []retainedMessage) {
 	for _, k := range c.retained {
 		if k.end > written || now-k.queuedAt <= share.AssumedArrivalSeconds {
-			list = append(list, k.data)
+			list = append(list, k)
 		}
 	}
 	c.retained = nil
--- a/internal/node/conn_test.go
+++ b/internal/node/conn_test.go
@@ -143,12 +143,12 @@
 	for k := range maxRetainedMessages + 100 {
 		for end := time.Now().Add(testTimeout); c.bytesWritten() < int64(8*k-64<<10) && time.Now().Before(end); time.Sleep(time.Millisecond) {
 		}
-		if !c.sendRetained(1, fmt.Appendf(nil, "%08d", k)) {
+		if !c.sendRetained(1, testID(k), fmt.Appendf(nil, "%08d", k)) {
 			t.Fatalf("message %d was not queued", k)
 		}
 	}
 	list := c.undelivered(1, 1<<40)
-	if len(list) != maxRetainedMessages || string(list[maxRetainedMessages-1]) != fmt.Sprintf("%08d", maxRetainedMessages+99) {
-		t.Errorf("%d messages are retained, the last is %q", len(list), list[len(list)-1])
+	if len(list) != maxRetainedMessages || string(list[maxRetainedMessages-1].data) != fmt.Sprintf("%08d", maxRetainedMessages+99) {
+		t.Errorf("%d messages are retained, the last is %q", len(list), list[len(list)-1].data)
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -88,7 +88,7 @@
 	serversByID     map[string]*server          // removed with servers
 	abandonedSetups map[string]*server          // SETUPs ended unanswered, by session id; removed after rememberSeconds
 	unknownReleases map[string]bool             // released sessions that are not known (yet); removed after rememberSeconds
-	pendingReleases []pendingMessage            // releases for which no client connection was available; dropped when they expire
+	pendingReleases []*pendingRelease           // at most maxRemembered; dropped when they expire
 	clients         []*client
 	clientSlots     *connSlots    // bounds the client connections
 	acceptDone      chan struct{} // closed when the accept loop ends
@@ -104,8 +104,9 @@
 	counts                     map[string]int // occurrences by kind, logged at the exit
 }
 
-// pendingMessage is a message that waits for a connection to be sent on.
+// pendingMessage is a message about a session that waits for a connection to be sent on.
 type pendingMessage struct {
+	id        string
 	data      []byte
 	expiresAt float64
 }
--- /dev/null
+++ b/internal/node/release_test.go
@@ -0,0 +1,153 @@
+package node
+
+import (
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"rainhaven/internal/rtsp"
+)
+
+// The tests of this file end a session after the connection of its client is gone, replaced or no longer read: its release must
+// reach the client over whichever connection is open.
+
+// releaseLimit is the platform's limit for passing on a server's release.
+const releaseLimit = time.Second
+
+// established sets up a session over a connection and returns the server's end of it.
+func (h *harness) established(fs *fakeServer, cl *peer, id string) *peer {
+	h.t.Helper()
+	cl.setup(id, "free", "")
+	return h.serveNext(fs, cl).conn
+}
+
+// ping sends a health check and expects its answer.
+func (p *peer) ping() {
+	p.t.Helper()
+	p.sendf("OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n")
+	p.expect("200")
+}
+
+// reset resets a connection.
+func (p *peer) reset() {
+	p.Conn.(*net.TCPConn).SetLinger(0)
+	p.Close()
+}
+
+// expectRelease expects the release of a session, within the platform's limit.
+func (p *peer) expectRelease(id string) {
+	p.t.Helper()
+	if m := p.expectWithin(releaseLimit, rtsp.TearDown); m.Session() != id {
+		p.t.Errorf("released %s, want %s", m.Session(), id)
+	}
+}
+
+// expectNothing expects that no message arrives within a while.
+func (p *peer) expectNothing() {
+	p.t.Helper()
+	select {
+	case m := <-p.messages:
+		p.t.Errorf("%s: got %s for %s", p.name, messageKind(m), m.Session())
+	case <-time.After(3 * time.Duration(maintenanceInterval*float64(time.Second))):
+	}
+}
+
+// A client's only connection is reset at rest and replaced, then the server releases the session: the release reaches the client
+// over the new connection, whatever that has been used for. It was sent only on connections that had served a session, and
+// dropped after 8 s (review/3).
+func TestReleaseAfterConnectionReset(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		replace func(h *harness, fs *fakeServer, cl *peer)
+	}{
+		{"named as established", func(h *harness, fs *fakeServer, cl *peer) {
+			cl.setup(testID(1), "free", ";at:s-1")
+			h.waitFor("the session is named", func(n *Node) bool {
+				return slices.ContainsFunc(n.clients, func(o *client) bool { return o.RequestedSession && o.Established+o.Pending == 0 || o.Established == 1 })
+			})
+		}},
+		{"named, then probed", func(h *harness, fs *fakeServer, cl *peer) { cl.setup(testID(1), "free", ";at:s-1"); cl.ping() }},
+		{"probed only", func(h *harness, fs *fakeServer, cl *peer) { cl.ping() }},
+		{"opened only", func(*harness, *fakeServer, *peer) {}},
+		{"refused", func(h *harness, fs *fakeServer, cl *peer) {
+			cl.setup(testID(2), "free", "")
+			x, _ := h.expectAt(rtsp.Setup, fs)
+			x.conn.answer(x.msg, 453, "")
+			cl.expect("503")
+		}},
+	} {
+		for _, end := range []struct {
+			name string
+			end  func(*peer)
+		}{{"reset", (*peer).reset}, {"half closed", func(p *peer) { p.Conn.(*net.TCPConn).CloseWrite() }}} {
+			for _, openedFirst := range []bool{false, true} {
+				name := c.name + ", the old one " + end.name
+				if openedFirst {
+					name += " after it"
+				}
+				t.Run(name, func(t *testing.T) {
+					h, s1 := newSingleServerHarness(t, 256)
+					cl := h.connect()
+					server := h.established(s1, cl, testID(1))
+					var next *peer
+					if openedFirst {
+						next = h.connect()
+						c.replace(h, s1, next)
+						h.waitFor("both connections are known", func(n *Node) bool { return len(n.clients) == 2 })
+						end.end(cl)
+						h.waitFor("the old connection is closed", func(n *Node) bool { return len(n.clients) == 1 })
+					} else {
+						end.end(cl)
+						h.waitFor("the old connection is closed", func(n *Node) bool { return len(n.clients) == 0 })
+						next = h.connect()
+						c.replace(h, s1, next)
+						h.waitFor("the new connection is known", func(n *Node) bool { return len(n.clients) == 1 })
+					}
+					server.tearDown(testID(1), causeFinished)
+					next.expectRelease(testID(1))
+				})
+			}
+		}
+	}
+}
+
+// No connection is open when a session ends: the release arrives over the next one opened, even if it is only probed. It waited
+// for one that serves a session.
+func TestReleaseOnTheNextConnection(t *testing.T) {
+	h, s1 := newSingleServerHarness(t, 256)
+	cl := h.connect()
+	server := h.established(s1, cl, testID(1))
+	cl.reset()
+	h.waitFor("the connection is closed", func(n *Node) bool { return len(n.clients) == 0 })
+	server.tearDown(testID(1), causeFinished)
+	h.waitFor("the release is pending", func(n *Node) bool { return len(n.pendingReleases) == 1 })
+	next := h.connect()
+	next.ping()
+	next.expectRelease(testID(1))
+}
+
+// A connection that only probes may belong to a monitor: what was released on it is released again on a connection that names or
+// is served a session, or on another one that probes if it closes. A connection that is served settles it.
+func TestReleaseIsRepeatedOnABetterConnection(t *testing.T) {
+	h, s1 := newSingleServerHarness(t, 256)
+	cl := h.connect()
+	server := h.established(s1, cl, testID(1))
+	monitor := h.connect()
+	monitor.ping()
+	cl.reset()
+	h.waitFor("the connection is closed", func(n *Node) bool { return len(n.clients) == 1 })
+	server.tearDown(testID(1), causeFinished)
+	monitor.expectRelease(testID(1))
+	monitor.reset()
+	h.waitFor("the monitor's connection is closed", func(n *Node) bool { return len(n.clients) == 0 })
+	second := h.connect()
+	second.ping()
+	second.expectRelease(testID(1))
+	client := h.connect()
+	h.established(s1, client, testID(2))
+	client.expectRelease(testID(1))
+	h.waitFor("nothing is pending", func(n *Node) bool { return len(n.pendingReleases) == 0 })
+	second.expectNothing()
+	client.expectNothing()
+}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -125,7 +125,7 @@
 		delete(n.abandonedSetups, m.Session())
 		b := teardownMessage(mediaRoot, m.Session(), causeMoved)
 		if sc.closed {
-			n.sendToServer(sv, b)
+			n.sendToServer(sv, m.Session(), b)
 		} else {
 			sc.send(b)
 		}
@@ -133,9 +133,9 @@
 }
 
 // trySendToServer sends a message that belongs to no SETUP on any open connection; false if there is none.
-func (n *Node) trySendToServer(sv *server, b []byte) bool {
+func (n *Node) trySendToServer(sv *server, id string, b []byte) bool {
 	for _, sc := range sv.conns {
-		if sc.up && sc.sendRetained(n.now, b) {
+		if sc.up && sc.sendRetained(n.now, id, b) {
 			sc.lastUsed = n.now
 			return true
 		}
@@ -145,11 +145,11 @@
 
 // sendToServer sends a message like trySendToServer. If no connection is open, the message waits and one is dialled, unless the
 // server is gone from the list: its address may already belong to another one.
-func (n *Node) sendToServer(sv *server, b []byte) {
-	if n.trySendToServer(sv, b) || sv.state == choice.Gone || len(sv.pendingMessages) >= maxRemembered {
+func (n *Node) sendToServer(sv *server, id string, b []byte) {
+	if n.trySendToServer(sv, id, b) || sv.state == choice.Gone || len(sv.pendingMessages) >= maxRemembered {
 		return
 	}
-	sv.pendingMessages = append(sv.pendingMessages, pendingMessage{b, n.now + pendingSeconds})
+	sv.pendingMessages = append(sv.pendingMessages, pendingMessage{id, b, n.now + pendingSeconds})
 	if !slices.ContainsFunc(sv.conns, func(sc *serverConn) bool { return !sc.up }) {
 		n.dialServer(sv)
 	}
--- a/internal/node/serverconn.go
+++ b/internal/node/serverconn.go
@@ -144,7 +144,7 @@
 // tearDownUnanswered has a server tear down what a SETUP may have set up although its answer was lost, as the session
 // would stay there unwanted. If there is no connection, one is opened for it.
 func (n *Node) tearDownUnanswered(s *session) {
-	n.sendToServer(s.server, teardownMessage(s.url, s.id, causeMoved))
+	n.sendToServer(s.server, s.id, teardownMessage(s.url, s.id, causeMoved))
 }
 
 // dialFailed handles a connection that could not be opened: no SETUP waiting for it ran.
@@ -205,7 +205,7 @@
 	pending := sc.server.pendingMessages
 	sc.server.pendingMessages = nil
 	for _, o := range pending {
-		sc.sendRetained(n.now, o.data)
+		sc.sendRetained(n.now, o.id, o.data)
 	}
 	for _, s := range slices.Clone(sc.setups) {
 		n.sendSetup(s, sc)
@@ -242,8 +242,8 @@
 		}
 		n.dispatchSetup(s)
 	}
-	for _, b := range sc.undelivered(n.now, written) {
-		n.sendToServer(sc.server, b)
+	for _, m := range sc.undelivered(n.now, written) {
+		n.sendToServer(sc.server, m.id, m.data)
 	}
 	n.removeServerIfGone(sc.server)
 }
--- a/internal/node/sessions.go
+++ b/internal/node/sessions.go
@@ -39,7 +39,7 @@
 	sv := n.serversByID[setup.currentServer]
 	if sv == nil || n.unknownReleases[setup.id] || len(n.sessions)-n.openRequests >= share.MaxHandedOver(n.config.MemoryMB) {
 		delete(n.unknownReleases, setup.id)
-		cl.send(teardownMessage(setup.url, setup.id, causeLost))
+		n.releaseToClient(cl, setup.id, teardownMessage(setup.url, setup.id, causeLost))
 		return
 	}
 	setup.body = nil
@@ -240,58 +240,14 @@
 	n.removeSession(s)
 	n.notifyModule(wire.Event{Kind: wire.SetupEnded, Request: choice.Request{ID: choice.SessID(s.id)}, Server: sv.number, Outcome: outcome, Final: true, Report: report})
 	if cause != causeMoved && !n.sabotages(SabotageRelease, s.id) {
-		n.sendRelease(cl, teardownMessage(s.url, s.id, cause))
+		n.releaseToClient(cl, s.id, teardownMessage(s.url, s.id, cause))
 	}
 	n.removeServerIfGone(sv)
 }
 
-// sendRelease sends a release on the client's own connection, or else on the newest that has served a session. If there is none,
-// the release waits for one.
-func (n *Node) sendRelease(cl *client, b []byte) {
-	if cl != nil && !cl.closed && cl.sendRetained(n.now, b) {
-		n.logRelease("release sent on the session's own connection", b, str("to", cl.peer()))
-		return
-	}
-	for i := len(n.clients) - 1; i >= 0; i-- {
-		if o := n.clients[i]; o.hasServed && o.sendRetained(n.now, b) {
-			n.logRelease("release sent on another connection", b, str("to", o.peer()))
-			return
-		}
-	}
-	n.logRelease("release waits for a connection", b, num("open", len(n.clients)), num("waiting", len(n.pendingReleases)))
-	if len(n.pendingReleases) < maxRemembered {
-		n.pendingReleases = append(n.pendingReleases, pendingMessage{b, n.now + pendingSeconds})
-	}
-}
-
-// sendPendingReleases retries the releases for which no connection was available. They keep their expiry.
-func (n *Node) sendPendingReleases() {
-	pending := n.pendingReleases
-	n.pendingReleases = nil
-	for _, m := range pending {
-		if n.now >= m.expiresAt {
-			n.counts["releases dropped"]++
-			n.log.Info("release dropped: no connection in time", str("sess", sessionIDIn(m.data)), num("open", len(n.clients)))
-			continue
-		}
-		count := len(n.pendingReleases)
-		n.sendRelease(nil, m.data)
-		if len(n.pendingReleases) > count {
-			n.pendingReleases[count].expiresAt = m.expiresAt
-		}
-	}
-}
-
-// logRelease logs, at level debug, which way a release takes.
-func (n *Node) logRelease(message string, b []byte, fields ...zap.Field) {
-	if n.log.Core().Enabled(zap.DebugLevel) {
-		n.log.Debug(message, append(fields, str("sess", sessionIDIn(b)))...)
-	}
-}
-
 // endSessionForClient ends an established session because its client ended it or is gone.
 func (n *Node) endSessionForClient(s *session) {
-	n.sendToServer(s.server, teardownMessage(s.url, s.id, causeMoved))
+	n.sendToServer(s.server, s.id, teardownMessage(s.url, s.id, causeMoved))
 	n.notifyModule(wire.Event{Kind: wire.ClientLeft, Request: choice.Request{ID: choice.SessID(s.id)}})
 	n.endSession(s, choice.Cancelled, causeMoved, noReport)
 }
