node: a session that is named again on another connection belongs to that one too

Callers saw: naming a session with 'at' that the node already holds had no effect; after the old connection's end the session stood without a client, and nothing tied the new connection to it. Cause: acceptHandover returned at once for a known id (PROTOCOL.md: 'it may name what the front node already holds'). Evidence: TestReleaseOfASessionNamedElsewhere and TestNamedSessionOutlivesItsConnections failed before (no release on the naming connection; the session never named) and pass now. Change: the naming connection takes the place of one that is closed or closing; while the own one is open both get the release, as either may be no longer read. Measured: go test ./internal/node -run 'Release|Named|Handed|Cross' passes.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -20,6 +20,7 @@
 	share.ConnUsage
 	readControl
 	hasServed     bool // a session was served on this connection, or handed over on it
+	namesOthers   bool // it is namedOn for sessions of other connections
 	lastHeard     float64
 	closed        bool
 	pendingClose  closeReason // reason for closing it once its reader has stopped; empty if it stays open
@@ -216,9 +217,17 @@
 	for _, m := range cl.undelivered(n.now, cl.writtenTotal) {
 		n.releaseOnAnyConn(m.id, m.data)
 	}
+	if cl.namesOthers {
+		for _, s := range n.sessions {
+			if s.namedOn == cl {
+				s.namedOn = nil
+			}
+		}
+	}
 	for _, s := range slices.Clone(cl.sessions) {
-		s.client = nil
-		if s.answerEnd < 0 || s.answerEnd > cl.writtenTotal { // the client never received its answer, so nobody plays this session
+		answered := s.answerEnd >= 0 && s.answerEnd <= cl.writtenTotal || s.namedOn != nil
+		n.loseClient(s)
+		if !answered { // the client never received its answer, so nobody plays this session
 			n.endSessionForClient(s)
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,6 +44,7 @@
 	clientSetup
 	state                sessionState
 	client               *client     // nil once its connection has closed
+	namedOn              *client     // the connection on which it was named last as established, if client is another one; else nil
 	server               *server     // of the SETUP in flight, or of the established session
 	conn                 *serverConn // of the SETUP in flight
 	setupStart, setupEnd int64       // byte offsets of the SETUP in all that conn sends; below 0 if it was not queued
--- a/internal/node/release.go
+++ b/internal/node/release.go
@@ -34,13 +34,18 @@
 	return carrier.Relate(cl.SentMessage, cl.RequestedSession, cl.hasServed)
 }
 
-// releaseToClient sends a release on the client's own connection; if that is not open, on another one, or as soon as one is.
-func (n *Node) releaseToClient(own *client, id string, data []byte) {
-	if own != nil && !own.closed && own.sendRetained(n.now, id, data) {
-		n.logRelease("release sent on the session's own connection", id, own)
-		return
+// releaseToClient sends a release on the connections of its session; if none of them is open, on another one, or as soon as one is.
+func (n *Node) releaseToClient(own []*client, id string, data []byte) {
+	sent := false
+	for _, cl := range own {
+		if cl.sendRetained(n.now, id, data) {
+			n.logRelease("release sent on the session's own connection", id, cl)
+			sent = true
+		}
+	}
+	if !sent {
+		n.releaseOnAnyConn(id, data)
 	}
-	n.releaseOnAnyConn(id, data)
 }
 
 // releaseOnAnyConn sends a release on the best open connection. It is kept, and sent again on a better one, until it was sent to
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -151,3 +151,46 @@
 	second.expectNothing()
 	client.expectNothing()
 }
+
+// A session is named on a second connection while its own is open: both get the release, as either may be the one that is no
+// longer read. If the own one closes, the other takes its place.
+func TestReleaseOfASessionNamedElsewhere(t *testing.T) {
+	h, s1 := newSingleServerHarness(t, 256)
+	cl := h.connect()
+	server := h.established(s1, cl, testID(1))
+	h.established(s1, cl, testID(2))
+	second := h.connect()
+	for _, k := range []int{1, 2} {
+		second.setup(testID(k), "free", ";at:s-1")
+	}
+	second.ping()
+	server.tearDown(testID(1), causeFinished)
+	cl.expectRelease(testID(1))
+	second.expectRelease(testID(1))
+	time.Sleep(300 * time.Millisecond) // what was sent just before a close is sent again
+	cl.reset()
+	h.waitFor("the session belongs to the second connection", func(n *Node) bool {
+		return len(n.clients) == 1 && n.clients[0].Established == 1 && n.sessions[testID(2)].client == n.clients[0]
+	})
+	server.tearDown(testID(2), causeFinished)
+	second.expectRelease(testID(2))
+}
+
+// A session that was answered on one connection and named on another outlives that one too: the offset of its answer belongs to
+// the first connection only.
+func TestNamedSessionOutlivesItsConnections(t *testing.T) {
+	h, s1 := newSingleServerHarness(t, 256)
+	first := h.connect()
+	server := h.established(s1, first, testID(1))
+	first.reset()
+	h.waitFor("the first connection is closed", func(n *Node) bool { return len(n.clients) == 0 })
+	second := h.connect()
+	second.setup(testID(1), "free", ";at:s-1")
+	h.waitFor("the session is named", func(n *Node) bool { return len(n.clients) == 1 && n.clients[0].Established == 1 })
+	second.reset()
+	h.waitFor("the second connection is closed", func(n *Node) bool { return len(n.clients) == 0 })
+	third := h.connect()
+	third.ping()
+	server.tearDown(testID(1), causeFinished)
+	third.expectRelease(testID(1))
+}
--- a/internal/node/sessions.go
+++ b/internal/node/sessions.go
@@ -31,28 +31,6 @@
 	n.notifyModule(wire.Event{Kind: wire.Request, Request: s.request})
 }
 
-// acceptHandover takes over a session that is already established at a server. It is not answered.
-func (n *Node) acceptHandover(cl *client, setup clientSetup) {
-	if n.sessions[setup.id] != nil {
-		return
-	}
-	sv := n.serversByID[setup.currentServer]
-	if sv == nil || n.unknownReleases[setup.id] || len(n.sessions)-n.openRequests >= share.MaxHandedOver(n.config.MemoryMB) {
-		delete(n.unknownReleases, setup.id)
-		n.releaseToClient(cl, setup.id, teardownMessage(setup.url, setup.id, causeLost))
-		return
-	}
-	setup.body = nil
-	s := &session{clientSetup: setup, client: cl, state: established, establishedAt: n.now, server: sv, rung: n.config.Choice.Groups[setup.group].Floor}
-	n.sessions[s.id] = s
-	cl.sessions = append(cl.sessions, s)
-	cl.Established++
-	cl.hasServed = true
-	s.server.sessions = append(s.server.sessions, s)
-	n.counts["handed"]++
-	n.notifyModule(wire.Event{Kind: wire.Handover, Request: s.request, Server: s.server.number})
-}
-
 // dispatchSetup assigns a session's SETUP to a connection. The server may have stopped being ready since the module chose it.
 func (n *Node) dispatchSetup(s *session) {
 	if s.server.state != choice.Ready {
@@ -185,15 +163,7 @@
 	s.setupTimer = nil
 	n.detachSetup(s)
 	n.guard.Dropped(s.id)
-	if cl := s.client; cl != nil {
-		cl.sessions = slices.DeleteFunc(cl.sessions, func(o *session) bool { return o == s })
-		if s.state == established {
-			cl.Established--
-		} else {
-			cl.Pending--
-		}
-		cl.LastUsed = n.now
-	}
+	n.detachClient(s)
 	if s.state != established {
 		n.openRequests--
 	} else if s.server != nil {
@@ -202,6 +172,22 @@
 	delete(n.sessions, s.id)
 }
 
+// detachClient removes a session from its client's connection, if it has one.
+func (n *Node) detachClient(s *session) {
+	cl := s.client
+	if cl == nil {
+		return
+	}
+	s.client = nil
+	cl.sessions = slices.DeleteFunc(cl.sessions, func(o *session) bool { return o == s })
+	if s.state == established {
+		cl.Established--
+	} else {
+		cl.Pending--
+	}
+	cl.LastUsed = n.now
+}
+
 // establishSession handles a server's 200 and passes its description on to the client.
 func (n *Node) establishSession(s *session, m *rtsp.Message) {
 	n.detachSetup(s)
@@ -232,7 +218,7 @@
 // endSession ends an established session and sends its client the release.
 func (n *Node) endSession(s *session, outcome choice.Outcome, cause int, report choice.LoadReport) {
 	sv := s.server
-	cl := s.client
+	clients := s.releaseConns()
 	if n.now-s.establishedAt < quickReleaseSeconds {
 		s.history.unusual = true
 	}
@@ -240,7 +226,7 @@
 	n.removeSession(s)
 	n.notifyModule(wire.Event{Kind: wire.SetupEnded, Request: choice.Request{ID: choice.SessID(s.id)}, Server: sv.number, Outcome: outcome, Final: true, Report: report})
 	if cause != causeMoved && !n.sabotages(SabotageRelease, s.id) {
-		n.releaseToClient(cl, s.id, teardownMessage(s.url, s.id, cause))
+		n.releaseToClient(clients, s.id, teardownMessage(s.url, s.id, cause))
 	}
 	n.removeServerIfGone(sv)
 }
