node: a client that names a session which has ended is told of its end

Callers saw: a client whose release was lost with its connection, and which names the session on the next one, heard nothing; the node took the session over as established although its server had ended it, so it stood for good on both sides and held a seat. Cause: the node forgot a session with its end and took any unknown id as one to take over; only releases of sessions it had never known were remembered (unknownReleases). Evidence: TestEndedSessionIsNamed failed before (no release within 1 s) and passes now. Change: endedSessions remembers each end for 10 s, at most 2048; naming one of them is answered by its release, on the connection that names it, and takes what is pending for it out.

--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -13,9 +13,12 @@
 		n.sessionNamed(known, cl)
 		return
 	}
+	if ended := n.endedSessions[setup.id]; ended != nil {
+		n.endedSessionNamed(ended, setup, cl)
+		return
+	}
 	sv := n.serversByID[setup.currentServer]
-	if sv == nil || n.unknownReleases[setup.id] || len(n.sessions)-n.openRequests >= share.MaxHandedOver(n.config.MemoryMB) {
-		delete(n.unknownReleases, setup.id)
+	if sv == nil || len(n.sessions)-n.openRequests >= share.MaxHandedOver(n.config.MemoryMB) {
 		n.releaseToClient([]*client{cl}, setup.id, teardownMessage(setup.url, setup.id, causeLost))
 		return
 	}
@@ -28,6 +31,36 @@
 	n.notifyModule(wire.Event{Kind: wire.Handover, Request: s.request, Server: s.server.number})
 }
 
+// endedSession is a session that has ended. It is remembered for rememberSeconds, as its client may still name it as established:
+// its release was lost with a connection, or is on its way.
+type endedSession struct {
+	cause int // of the release that its client gets if it names the session
+}
+
+// rememberEnd remembers the end of a session with the cause that its server or this node gave.
+func (n *Node) rememberEnd(id string, cause int) {
+	if n.endedSessions[id] == nil && len(n.endedSessions) >= maxRemembered {
+		return
+	}
+	if cause != causeFinished {
+		cause = causeLost
+	}
+	ended := &endedSession{cause: cause}
+	n.endedSessions[id] = ended
+	n.after(rememberSeconds, func() {
+		if n.endedSessions[id] == ended {
+			delete(n.endedSessions, id)
+		}
+	})
+}
+
+// endedSessionNamed releases a session that its client names although it has ended.
+func (n *Node) endedSessionNamed(ended *endedSession, setup clientSetup, cl *client) {
+	cl.hasServed = true
+	n.pendingReleases = slices.DeleteFunc(n.pendingReleases, func(r *pendingRelease) bool { return r.id == setup.id })
+	n.releaseToClient([]*client{cl}, setup.id, teardownMessage(setup.url, setup.id, ended.cause))
+}
+
 // sessionNamed handles a client that names a session which this node holds. The connection on which it was named last carries its
 // release as well: the session's own one may have closed, or may be one that its client no longer reads.
 func (n *Node) sessionNamed(s *session, cl *client) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -88,7 +88,7 @@
 	serversByNumber map[choice.ServerID]*server // removed with servers
 	serversByID     map[string]*server          // removed with servers
 	abandonedSetups map[string]*server          // SETUPs ended unanswered, by session id; removed after rememberSeconds
-	unknownReleases map[string]bool             // released sessions that are not known (yet); removed after rememberSeconds
+	endedSessions   map[string]*endedSession    // at most maxRemembered; removed after rememberSeconds
 	pendingReleases []*pendingRelease           // at most maxRemembered; dropped when they expire
 	clients         []*client
 	clientSlots     *connSlots    // bounds the client connections
@@ -113,7 +113,7 @@
 }
 
 const (
-	// rememberSeconds is how long unanswered SETUPs, whose answer may still arrive, and releases of unknown sessions are remembered.
+	// rememberSeconds is how long unanswered SETUPs, whose answer may still arrive, and ended sessions are remembered.
 	rememberSeconds = 10.0
 	// maxRemembered bounds each of these tables and each list of pending messages; what exceeds it is dropped.
 	maxRemembered = 2048
@@ -158,7 +158,7 @@
 func Run(o Options) (lifecycle.ExitCode, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{config: o.Config, reloadConfig: o.ReloadConfig, log: o.Log, ctx: ctx, events: make(chan event, eventQueueSize), startedAt: time.Now(),
-		sessions: map[string]*session{}, serversByNumber: map[choice.ServerID]*server{}, serversByID: map[string]*server{}, abandonedSetups: map[string]*server{}, unknownReleases: map[string]bool{},
+		sessions: map[string]*session{}, serversByNumber: map[choice.ServerID]*server{}, serversByID: map[string]*server{}, abandonedSetups: map[string]*server{}, endedSessions: map[string]*endedSession{},
 		counts: map[string]int{}, network: o.Network, trials: o.Trials,
 		clientSlots: newConnSlots(share.MaxViewerConns(o.Config.MaxDescriptors, 0))}
 	if n.network == nil {
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -194,3 +194,17 @@
 	server.tearDown(testID(1), causeFinished)
 	third.expectRelease(testID(1))
 }
+
+// A client names a session that has ended, as its release was lost with the old connection: it is released again, and not taken
+// over as a session that nobody will ever end.
+func TestEndedSessionIsNamed(t *testing.T) {
+	h, s1 := newSingleServerHarness(t, 256)
+	cl := h.connect()
+	server := h.established(s1, cl, testID(1))
+	server.tearDown(testID(1), causeFinished)
+	cl.expectRelease(testID(1))
+	next := h.connect()
+	next.setup(testID(1), "free", ";at:s-1")
+	next.expectRelease(testID(1))
+	h.waitFor("no session is known", func(n *Node) bool { return len(n.sessions) == 0 })
+}
--- a/internal/node/sessions.go
+++ b/internal/node/sessions.go
@@ -224,6 +224,7 @@
 	}
 	n.counts[fmt.Sprintf("ended %d", outcome)]++
 	n.removeSession(s)
+	n.rememberEnd(s.id, cause)
 	n.notifyModule(wire.Event{Kind: wire.SetupEnded, Request: choice.Request{ID: choice.SessID(s.id)}, Server: sv.number, Outcome: outcome, Final: true, Report: report})
 	if cause != causeMoved && !n.sabotages(SabotageRelease, s.id) {
 		n.releaseToClient(clients, s.id, teardownMessage(s.url, s.id, cause))
@@ -289,9 +290,8 @@
 	}
 	switch {
 	case s == nil:
-		if validID(id) && n.sessions[id] == nil && len(n.unknownReleases) < maxRemembered {
-			n.unknownReleases[id] = true
-			n.after(rememberSeconds, func() { delete(n.unknownReleases, id) })
+		if validID(id) && n.sessions[id] == nil {
+			n.rememberEnd(id, parseCause(m))
 		}
 	case s.state == attempting && (parseCause(m) == causeFinished || parseCause(m) == causeMoved):
 		n.handleReleaseBeforeAnswer(sc, s, m)
