node: a session ended by its client before it is named does not play on

Callers saw: a client's TEARDOWN and the 'at' that names the session cross on two connections, as after a node's start; the TEARDOWN was answered 200 and forgotten, then the session was taken over and played on at its server for nobody. Cause: handleTeardown kept nothing of a session that the node does not know (PROTOCOL.md: what ends a session may arrive on any connection). Evidence: TestSessionIsEndedBeforeItIsNamed failed before ('got SET_PARAMETER, want TEARDOWN': the node set its rung) and passes now. Measured: go test ./internal/node -run 'Release|Named|Handed|Cross|Ended' passes.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -308,6 +308,7 @@
 			n.rejectRequest(cl, m, rtsp.BadRequest)
 			return
 		}
+		n.rememberEndByClient(m.Session())
 		cl.send(responseMessage(m, rtsp.OK))
 		return
 	}
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -208,3 +208,17 @@
 	next.expectRelease(testID(1))
 	h.waitFor("no session is known", func(n *Node) bool { return len(n.sessions) == 0 })
 }
+
+// A client ends a session on one connection while the message that names the session is still on its way on another: the server is
+// told, and the session is not taken over for a client that has left. It stood at its server until that ended it.
+func TestSessionIsEndedBeforeItIsNamed(t *testing.T) {
+	h, s1 := newSingleServerHarness(t, 256)
+	cl, other := h.connect(), h.connect()
+	cl.tearDown(testID(1), 0)
+	cl.expect("200")
+	other.setup(testID(1), "free", ";at:s-1")
+	if x, _ := h.expectAt(rtsp.TearDown, s1); x.msg.Session() != testID(1) || parseCause(x.msg) != causeMoved {
+		t.Errorf("released %+v", x.msg.Header)
+	}
+	h.waitFor("no session is known", func(n *Node) bool { return len(n.sessions) == 0 })
+}
