node: the drain goes on while a message about an ended session waits for a connection

Callers saw: a node that got SIGTERM while a session's release waited for a connection exited 1 s later, as it held no session any more; the release was lost and the session stood for its client for good. Cause: the loop reported the node drained by its sessions alone; pendingReleases and servers' pendingMessages were not asked. Evidence: TestDrainWaitsForPendingReleases failed before ('connection refused' 1.5 s after SIGTERM) and passes now. Change: the node counts as drained once nothing waits that was never sent. The drain's end is as before (share.DrainSeconds), so SIGKILL is not nearer. Measured: go test ./internal/node -run 'TestDrain|TestTerminated|TestEnd|TestExit' passes.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -274,7 +274,7 @@
 		n.reconcile()
 		n.logCountMismatches()
 		n.lifecycle.SetTime(n.now)
-		if len(n.sessions) == 0 {
+		if len(n.sessions) == 0 && !n.owesMessages() {
 			n.lifecycle.Drained()
 		} else {
 			n.lifecycle.Resumed()
@@ -283,6 +283,12 @@
 	}
 }
 
+// owesMessages reports whether a message about a session that has ended still waits for a connection.
+func (n *Node) owesMessages() bool {
+	return slices.ContainsFunc(n.pendingReleases, func(r *pendingRelease) bool { return r.sentOn == nil }) ||
+		slices.ContainsFunc(n.servers, func(sv *server) bool { return len(sv.pendingMessages) > 0 })
+}
+
 // logCountMismatches logs, once a second and at level debug only, the servers for which the module's count of sessions differs
 // from the node's.
 func (n *Node) logCountMismatches() {
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"slices"
+	"syscall"
 	"testing"
 	"time"
 
@@ -222,3 +223,19 @@
 	}
 	h.waitFor("no session is known", func(n *Node) bool { return len(n.sessions) == 0 })
 }
+
+// A node that drains while a release waits for a connection goes on until the drain's end: the session would otherwise stand for
+// its client for good. It exited as soon as it had no session.
+func TestDrainWaitsForPendingReleases(t *testing.T) {
+	h, s1 := newSingleServerHarness(t, 256)
+	cl := h.connect()
+	server := h.established(s1, cl, testID(1))
+	cl.reset()
+	h.waitFor("the connection is closed", func(n *Node) bool { return len(n.clients) == 0 })
+	server.tearDown(testID(1), causeFinished)
+	h.waitFor("the release is pending", func(n *Node) bool { return len(n.pendingReleases) == 1 })
+	h.terminationSignals <- syscall.SIGTERM
+	time.Sleep(1500 * time.Millisecond) // a node without sessions exits after 1 s
+	next := h.connect()
+	next.expectRelease(testID(1))
+}
