node: what is queued for servers at the exit is written before the process ends

Callers saw: a client's end of a session that left the node's hands in its last millisecond never reached the server; the session played on there. Cause: shutDown waited for the clients' queues only; the servers' connections were closed with bytes in their queues. Change: both waits of shutDown ask for the servers' queues too; their bounds, 50 and 30 ms, are as before.

--- a/internal/node/exit.go
+++ b/internal/node/exit.go
@@ -8,7 +8,7 @@
 
 // Together these take less than 0.15 s: SIGKILL follows the end of the drain after that at the earliest (share.DrainSeconds).
 const (
-	// flushTimeout bounds the wait until the answers that are queued at the exit are written.
+	// flushTimeout bounds the wait until what is queued at the exit for clients and servers is written.
 	flushTimeout = 50 * time.Millisecond
 	// stopReadersTimeout bounds the wait until the readers of client connections have stopped.
 	stopReadersTimeout = 30 * time.Millisecond
@@ -25,12 +25,15 @@
 	n.front.Stop()
 	n.serveUntil(flushTimeout, func() bool {
 		n.answerOpenRequests()
-		return n.clientsFlushed() && len(n.events) == 0 && n.acceptStopped()
+		return n.clientsFlushed() && n.serversFlushed() && len(n.events) == 0 && n.acceptStopped()
 	})
 	for _, cl := range n.clients {
 		cl.requestStop(true)
 	}
-	n.serveUntil(stopReadersTimeout, func() bool { n.answerOpenRequests(); return n.readersStopped() && len(n.events) == 0 })
+	n.serveUntil(stopReadersTimeout, func() bool {
+		n.answerOpenRequests()
+		return n.readersStopped() && n.serversFlushed() && len(n.events) == 0
+	})
 	n.closeClients()
 	n.guard.ProcessEnded()
 	for reason, times := range n.guard.Counts() {
@@ -92,6 +95,16 @@
 	return !slices.ContainsFunc(n.clients, func(cl *client) bool { return !cl.isFlushed() })
 }
 
+// serversFlushed reports whether everything queued for servers has been written, such as TEARDOWNs of sessions that have ended.
+func (n *Node) serversFlushed() bool {
+	for _, sv := range n.servers {
+		if slices.ContainsFunc(sv.conns, func(sc *serverConn) bool { return sc.up && !sc.isFlushed() }) {
+			return false
+		}
+	}
+	return true
+}
+
 // readersStopped reports whether the readers of all client connections have stopped.
 func (n *Node) readersStopped() bool {
 	return !slices.ContainsFunc(n.clients, func(cl *client) bool { return !cl.readerStopped })
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -239,3 +239,28 @@
 	next := h.connect()
 	next.expectRelease(testID(1))
 }
+
+// A node that drains while a client's end of a session waits for a connection to its server goes on as well. It exited, and the
+// session played on.
+func TestDrainWaitsForPendingTeardowns(t *testing.T) {
+	failing := &failingNetwork{errno: syscall.ETIMEDOUT}
+	var s1 *fakeServer
+	h := newHarness(t, 256, func(h *harness) []*fakeServer {
+		h.network, s1 = failing, h.startServer("s-1")
+		return []*fakeServer{s1}
+	})
+	cl := h.connect()
+	server := h.established(s1, cl, testID(1))
+	failing.failuresLeft.Store(5)
+	h.terminationSignals <- syscall.SIGTERM
+	server.reset()
+	h.waitFor("the server's connection is closed", func(n *Node) bool { return len(n.servers[0].conns) == 0 })
+	cl.tearDown(testID(1), 0)
+	cl.expect("200")
+	if x, _ := h.expectAt(rtsp.TearDown, s1); x.msg.Session() != testID(1) {
+		t.Errorf("released %s", x.msg.Session())
+	}
+	if left := failing.failuresLeft.Load(); left > 0 {
+		t.Errorf("%d dials were to fail before", left)
+	}
+}
