node: what waits on a server connection that the node closes goes over another one

Callers saw: a client's end of a session, or a rung, that was queued on a connection whose probe timed out, or which gave way to another, never reached the server; the session played on there. Cause: serverConnClosed returned at once for connections that the node had closed itself; the messages retained for exactly this case were dropped with them. Evidence: TestTeardownOnAConnectionThatIsClosed failed before ('no TEARDOWN arrived') and passes now. Change: at the real end of such a connection its undelivered messages are sent over another one, judged by the time at which the close began; if the peer's own end was read, only what was not written. A dead server's messages are dropped as before. Measured: go test ./internal/node -run 'Teardown|Release|Conn' passes.

--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -179,6 +179,13 @@
 	return list
 }
 
+// dropRetained drops the retained messages of a connection whose peer is dead. The conn is nil if the connection never opened.
+func (c *conn) dropRetained() {
+	if c != nil {
+		c.retained = nil
+	}
+}
+
 // wakeWriter has writeLoop look at the connection's state again.
 func (c *conn) wakeWriter() {
 	select {
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -119,6 +119,7 @@
 	for _, sc := range slices.Clone(sv.conns) {
 		if len(sc.setups) == 0 {
 			n.closeServerConn(sc)
+			sc.dropRetained()
 		}
 	}
 	sv.liveness, sv.pendingMessages = liveness.Monitor{}, nil
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -38,6 +38,7 @@
 	server       *server
 	up           bool
 	closed       bool
+	closedAt     float64 // when it ended, or this node began to close it
 	lastUsed     float64
 	setups       []*session // in flight on it, or waiting for it to open; removed by their outcomes
 	probePending bool       // a probe waits for it to open
--- a/internal/node/serverconn.go
+++ b/internal/node/serverconn.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"math"
 	"slices"
 	"syscall"
 	"time"
@@ -214,14 +216,19 @@
 
 // removeServerConn removes a connection from its server.
 func (n *Node) removeServerConn(sc *serverConn) {
-	sc.closed = true
+	sc.closed, sc.closedAt = true, n.now
 	sc.server.conns = slices.DeleteFunc(sc.server.conns, func(o *serverConn) bool { return o == sc })
 }
 
 // serverConnClosed handles the end of a connection on which the given number of bytes was written: a SETUP none of
 // whose bytes was written never ran and is sent again.
 func (n *Node) serverConnClosed(sc *serverConn, written int64, err error) {
-	if sc.closed {
+	if sc.closed { // by this node
+		endedAt := sc.closedAt
+		if errors.Is(err, io.EOF) { // its peer has read what was written
+			endedAt = math.Inf(1)
+		}
+		n.resendUndelivered(sc, endedAt, written)
 		return
 	}
 	n.removeServerConn(sc)
@@ -242,10 +249,16 @@
 		}
 		n.dispatchSetup(s)
 	}
-	for _, m := range sc.undelivered(n.now, written) {
+	n.resendUndelivered(sc, n.now, written)
+	n.removeServerIfGone(sc.server)
+}
+
+// resendUndelivered sends the messages about sessions that may not have arrived on a connection over another one. The connection
+// ended, or began to be closed, at endedAt.
+func (n *Node) resendUndelivered(sc *serverConn, endedAt float64, written int64) {
+	for _, m := range sc.undelivered(endedAt, written) {
 		n.sendToServer(sc.server, m.id, m.data)
 	}
-	n.removeServerIfGone(sc.server)
 }
 
 // closeServerConn closes a connection that is no longer useful; the SETUPs pending on it end with it.
