node: a rung that was lost with its connection does not follow a later one

Callers saw: a session that was stepped down just as a connection to its server ended could be set back to the earlier rung when the lost message was sent again, and played on there. Cause: retained and pending messages were kept as bytes; what was sent again came after what had been sent since. Evidence: TestLostRungDoesNotFollowALaterOne failed before ('the last rung is "3", want 1') and passes now. Change: messages about sessions are typed (sessionMessage); of a rung the session's current one is sent again, none once the session has ended, and one that waits takes the place of an earlier one. tearDownAtServer, sendRung name the two messages. Measured: go test ./internal/node -run 'Lost|Teardown|Release|Conn|Retained' passes.

--- a/internal/node/acts.go
+++ b/internal/node/acts.go
@@ -23,7 +23,7 @@
 	s.rung = rung
 	if s.state == established {
 		a.n.counts["rungs"]++
-		a.n.sendToServer(s.server, s.id, rungMessage(s))
+		a.n.sendRung(s)
 	}
 }
 
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -141,18 +141,25 @@
 	return c.writtenTotal
 }
 
-// retainedMessage is a message that is not tied to a connection: if its connection ends before it must have arrived,
-// it is sent over another one.
+// sessionMessage is a message about an established session. No connection owns such a session, so the message may go over any
+// connection to the peer.
+type sessionMessage struct {
+	id     string // of the session
+	data   []byte
+	rungOf *session // the session whose rung the message sets; nil for other messages
+}
+
+// retainedMessage is a message about a session that was sent on a connection: if the connection ends before the message must have
+// arrived, it is sent over another one.
 type retainedMessage struct {
-	id       string // of the session that it is about
-	data     []byte
+	sessionMessage
 	end      int64 // offset of its end in all that the connection sends
 	queuedAt float64
 }
 
-// sendRetained queues a message about a session as send does and retains it for the case that the connection ends.
-func (c *conn) sendRetained(now float64, id string, data []byte) bool {
-	_, to := c.send(data)
+// sendRetained queues a message as send does and retains it for the case that the connection ends.
+func (c *conn) sendRetained(now float64, m sessionMessage) bool {
+	_, to := c.send(m.data)
 	if to < 0 {
 		return false
 	}
@@ -163,16 +170,16 @@
 	if len(c.retained) >= maxRetainedMessages { // the oldest is the most likely to have arrived
 		c.retained = slices.Delete(c.retained, 0, 1)
 	}
-	c.retained = append(c.retained, retainedMessage{id, data, to, now})
+	c.retained = append(c.retained, retainedMessage{m, to, now})
 	return true
 }
 
 // undelivered returns the retained messages that may not have arrived, given how many bytes were written by the end of
 // the connection.
-func (c *conn) undelivered(now float64, written int64) (list []retainedMessage) {
+func (c *conn) undelivered(now float64, written int64) (list []sessionMessage) {
 	for _, k := range c.retained {
 		if k.end > written || now-k.queuedAt <= share.AssumedArrivalSeconds {
-			list = append(list, k)
+			list = append(list, k.sessionMessage)
 		}
 	}
 	c.retained = nil
--- a/internal/node/conn_test.go
+++ b/internal/node/conn_test.go
@@ -143,7 +143,7 @@
 	for k := range maxRetainedMessages + 100 {
 		for end := time.Now().Add(testTimeout); c.bytesWritten() < int64(8*k-64<<10) && time.Now().Before(end); time.Sleep(time.Millisecond) {
 		}
-		if !c.sendRetained(1, testID(k), fmt.Appendf(nil, "%08d", k)) {
+		if !c.sendRetained(1, sessionMessage{data: fmt.Appendf(nil, "%08d", k)}) {
 			t.Fatalf("message %d was not queued", k)
 		}
 	}
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -72,7 +72,7 @@
 	cl.hasServed = true
 	if ended.byClient {
 		if sv := n.serversByID[setup.currentServer]; sv != nil {
-			n.sendToServer(sv, setup.id, teardownMessage(setup.url, setup.id, causeMoved))
+			n.tearDownAtServer(sv, setup.url, setup.id)
 		}
 		return
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -107,8 +107,7 @@
 
 // pendingMessage is a message about a session that waits for a connection to be sent on.
 type pendingMessage struct {
-	id        string
-	data      []byte
+	sessionMessage
 	expiresAt float64
 }
 
--- a/internal/node/owed_test.go
+++ b/internal/node/owed_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"rainhaven/choice"
 	"rainhaven/internal/rtsp"
 )
 
@@ -26,3 +27,33 @@
 		t.Errorf("released %+v", x.msg.Header)
 	}
 }
+
+// A rung is lost with a connection after the session got a later rung over another one: the server is not sent the earlier rung, at
+// which the session would then play on.
+func TestLostRungDoesNotFollowALaterOne(t *testing.T) {
+	h, s1 := newSingleServerHarness(t, 256)
+	cl := h.connect()
+	server := h.established(s1, cl, testID(1))
+	stalled := h.addStalledServerConn()
+	server.reset()
+	h.waitFor("only the stalled connection is open", func(n *Node) bool { return len(n.servers[0].conns) == 1 })
+	h.inspect(func(n *Node) {
+		actions{n}.SetRung(choice.SessID(testID(1)), 3)
+		n.closeServerConn(stalled)
+		actions{n}.SetRung(choice.SessID(testID(1)), 1)
+	})
+	h.breakServerConn(stalled)
+	cl.tearDown(testID(1), 0)
+	last := ""
+	for x := range s1.received { // until the TEARDOWN, which is sent last
+		if x.msg.Method == rtsp.TearDown {
+			break
+		}
+		if rung := x.msg.Header.Get(headerRung); x.msg.Method == rtsp.SetParameter {
+			last = rung
+		}
+	}
+	if last != "1" {
+		t.Errorf("the last rung is %q, want 1", last)
+	}
+}
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -113,7 +113,7 @@
 func (n *Node) serverLost(sv *server) {
 	n.log.Info("sessions lost with their server", str("server", sv.id), num("sessions", len(sv.sessions)))
 	for _, s := range slices.Clone(sv.sessions) {
-		n.trySendToServer(sv, s.id, teardownMessage(s.url, s.id, causeLost))
+		n.trySendToServer(sv, sessionMessage{id: s.id, data: teardownMessage(s.url, s.id, causeLost)})
 		n.endSession(s, choice.Reset, causeLost, noReport)
 	}
 	for _, sc := range slices.Clone(sv.conns) {
--- a/internal/node/release.go
+++ b/internal/node/release.go
@@ -38,7 +38,7 @@
 func (n *Node) releaseToClient(own []*client, id string, data []byte) {
 	sent := false
 	for _, cl := range own {
-		if cl.sendRetained(n.now, id, data) {
+		if cl.sendRetained(n.now, sessionMessage{id: id, data: data}) {
 			n.logRelease("release sent on the session's own connection", id, cl)
 			sent = true
 		}
@@ -94,7 +94,7 @@
 	}
 	relation := best.relation()
 	if relation.Confirmed() {
-		settled = best.sendRetained(n.now, r.id, r.data)
+		settled = best.sendRetained(n.now, sessionMessage{id: r.id, data: r.data})
 	}
 	if !settled {
 		if from, _ := best.send(r.data); from < 0 {
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -124,19 +124,18 @@
 func (n *Node) handleLateAnswer(sv *server, sc *serverConn, m *rtsp.Message) {
 	if m.Status == rtsp.OK && n.abandonedSetups[m.Session()] == sv {
 		delete(n.abandonedSetups, m.Session())
-		b := teardownMessage(mediaRoot, m.Session(), causeMoved)
 		if sc.closed {
-			n.sendToServer(sv, m.Session(), b)
+			n.tearDownAtServer(sv, mediaRoot, m.Session())
 		} else {
-			sc.send(b)
+			sc.send(teardownMessage(mediaRoot, m.Session(), causeMoved))
 		}
 	}
 }
 
 // trySendToServer sends a message that belongs to no SETUP on any open connection; false if there is none.
-func (n *Node) trySendToServer(sv *server, id string, b []byte) bool {
+func (n *Node) trySendToServer(sv *server, m sessionMessage) bool {
 	for _, sc := range sv.conns {
-		if sc.up && sc.sendRetained(n.now, id, b) {
+		if sc.up && sc.sendRetained(n.now, m) {
 			sc.lastUsed = n.now
 			return true
 		}
@@ -146,16 +145,41 @@
 
 // sendToServer sends a message like trySendToServer. If no connection is open, the message waits and one is dialled, unless the
 // server is gone from the list: its address may already belong to another one.
-func (n *Node) sendToServer(sv *server, id string, b []byte) {
-	if n.trySendToServer(sv, id, b) || sv.state == choice.Gone || len(sv.pendingMessages) >= maxRemembered {
+func (n *Node) sendToServer(sv *server, m sessionMessage) {
+	if n.trySendToServer(sv, m) || sv.state == choice.Gone || len(sv.pendingMessages) >= maxRemembered {
 		return
 	}
-	sv.pendingMessages = append(sv.pendingMessages, pendingMessage{id, b, n.now + pendingSeconds})
+	if m.rungOf != nil { // takes the place of an earlier rung
+		sv.pendingMessages = slices.DeleteFunc(sv.pendingMessages, func(o pendingMessage) bool { return o.rungOf == m.rungOf })
+	}
+	sv.pendingMessages = append(sv.pendingMessages, pendingMessage{m, n.now + pendingSeconds})
 	if !slices.ContainsFunc(sv.conns, func(sc *serverConn) bool { return !sc.up }) {
 		n.dialServer(sv)
 	}
 }
 
+// tearDownAtServer ends a session at its server, or cancels a SETUP there that may have established it.
+func (n *Node) tearDownAtServer(sv *server, url, id string) {
+	n.sendToServer(sv, sessionMessage{id: id, data: teardownMessage(url, id, causeMoved)})
+}
+
+// sendRung notifies a session's server of the session's rung.
+func (n *Node) sendRung(s *session) {
+	n.sendToServer(s.server, sessionMessage{id: s.id, data: rungMessage(s), rungOf: s})
+}
+
+// resendToServer sends a message over another connection after the one that carried it has ended. Of a rung the session's current
+// one is sent, as later ones may have overtaken it.
+func (n *Node) resendToServer(sv *server, m sessionMessage) {
+	s := m.rungOf
+	switch {
+	case s == nil:
+		n.sendToServer(sv, m)
+	case n.sessions[s.id] == s && s.state == established:
+		n.sendRung(s)
+	}
+}
+
 // handleSetupAnswer handles a server's final answer to a SETUP.
 func (n *Node) handleSetupAnswer(s *session, m *rtsp.Message, readAt float64) {
 	s.history.add(readAt, stepServerAnswered, strconv.Itoa(m.Status))
--- a/internal/node/serverconn.go
+++ b/internal/node/serverconn.go
@@ -146,7 +146,7 @@
 // tearDownUnanswered has a server tear down what a SETUP may have set up although its answer was lost, as the session
 // would stay there unwanted. If there is no connection, one is opened for it.
 func (n *Node) tearDownUnanswered(s *session) {
-	n.sendToServer(s.server, s.id, teardownMessage(s.url, s.id, causeMoved))
+	n.tearDownAtServer(s.server, s.url, s.id)
 }
 
 // dialFailed handles a connection that could not be opened: no SETUP waiting for it ran.
@@ -207,7 +207,7 @@
 	pending := sc.server.pendingMessages
 	sc.server.pendingMessages = nil
 	for _, o := range pending {
-		sc.sendRetained(n.now, o.id, o.data)
+		sc.sendRetained(n.now, o.sessionMessage)
 	}
 	for _, s := range slices.Clone(sc.setups) {
 		n.sendSetup(s, sc)
@@ -257,7 +257,7 @@
 // ended, or began to be closed, at endedAt.
 func (n *Node) resendUndelivered(sc *serverConn, endedAt float64, written int64) {
 	for _, m := range sc.undelivered(endedAt, written) {
-		n.sendToServer(sc.server, m.id, m.data)
+		n.resendToServer(sc.server, m)
 	}
 }
 
--- a/internal/node/trials.go
+++ b/internal/node/trials.go
@@ -145,5 +145,5 @@
 	if n.trials.Sabotage != SabotageCancel || sv == nil {
 		return
 	}
-	n.after(sendAfterCancelSeconds, func() { n.trySendToServer(sv, s.id, setupMessage(s, 1)) })
+	n.after(sendAfterCancelSeconds, func() { n.trySendToServer(sv, sessionMessage{id: s.id, data: setupMessage(s, 1)}) })
 }
