node: messages about sessions go over the server connection heard last

Callers saw: with a connection that its server, or something on the way, has forgotten, a client's end of a session or a rung went there without a word, though another connection to the server was in use; the session played on. Cause: trySendToServer took the oldest open connection, which is the likeliest to have been idle. Evidence: TestTeardownAvoidsAForgottenConnection failed before ('no TEARDOWN arrived') and passes now. Change: choice/carrier picks the connection whose server was heard last. A single forgotten connection is still found by its probe only. Measured: go test ./internal/node -run 'Forgotten|Lost|Teardown' passes.

--- a/internal/node/owed_test.go
+++ b/internal/node/owed_test.go
@@ -1,6 +1,9 @@
 package node
 
 import (
+	"io"
+	"net"
+	"slices"
 	"testing"
 
 	"rainhaven/choice"
@@ -57,3 +60,24 @@
 		t.Errorf("the last rung is %q, want 1", last)
 	}
 }
+
+// A server, or something on the way to it, has forgotten an idle connection and takes what is sent there without a word: a client's
+// end of a session goes over the connection on which the server was heard last. It went over the oldest one.
+func TestTeardownAvoidsAForgottenConnection(t *testing.T) {
+	h, s1 := newSingleServerHarness(t, 256)
+	cl := h.connect()
+	h.established(s1, cl, testID(1))
+	a, b := net.Pipe()
+	defer b.Close()
+	go io.Copy(io.Discard, b)
+	forgotten := h.addServerConn(a)
+	h.inspect(func(n *Node) {
+		conns := n.servers[0].conns
+		slices.Reverse(conns) // it is the oldest
+		forgotten.lastUsed = conns[1].lastUsed - 1
+	})
+	cl.tearDown(testID(1), 0)
+	if x, _ := h.expectAt(rtsp.TearDown, s1); x.msg.Session() != testID(1) {
+		t.Errorf("released %s", x.msg.Session())
+	}
+}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"rainhaven/choice"
+	"rainhaven/choice/carrier"
 	"rainhaven/choice/delivery"
 	"rainhaven/choice/liveness"
 	"rainhaven/internal/rtsp"
@@ -40,6 +41,7 @@
 	closed       bool
 	closedAt     float64 // when it ended, or this node began to close it
 	lastUsed     float64
+	lastHeard    float64    // when its server last sent a message on it, or when it was opened
 	setups       []*session // in flight on it, or waiting for it to open; removed by their outcomes
 	probePending bool       // a probe waits for it to open
 	cancelDial   context.CancelFunc
@@ -71,6 +73,7 @@
 	n.traceReceived(sc.conn, m)
 	sv := sc.server
 	sv.liveness.Heard(n.now)
+	sc.lastHeard = n.now
 	id := m.Session()
 	s := n.sessions[id]
 	if s != nil && s.server != sv {
@@ -132,15 +135,22 @@
 	}
 }
 
-// trySendToServer sends a message that belongs to no SETUP on any open connection; false if there is none.
+// trySendToServer sends a message that belongs to no SETUP on the open connection that best carries it; false if there is none.
 func (n *Node) trySendToServer(sv *server, m sessionMessage) bool {
+	var open []*serverConn
+	var candidates []carrier.Conn
 	for _, sc := range sv.conns {
-		if sc.up && sc.sendRetained(n.now, m) {
-			sc.lastUsed = n.now
-			return true
+		if sc.up && !sc.isClosing() {
+			open = append(open, sc)
+			candidates = append(candidates, carrier.Conn{Relation: carrier.Serving, LastHeard: sc.lastHeard})
 		}
 	}
-	return false
+	i := carrier.Pick(candidates)
+	if i == carrier.None || !open[i].sendRetained(n.now, m) {
+		return false
+	}
+	open[i].lastUsed = n.now
+	return true
 }
 
 // sendToServer sends a message like trySendToServer. If no connection is open, the message waits and one is dialled, unless the
--- a/internal/node/serverconn.go
+++ b/internal/node/serverconn.go
@@ -199,7 +199,7 @@
 		return
 	}
 	// An accepted connection is no sign of life: the system accepts it on behalf of a process that hangs.
-	sc.up, sc.lastUsed = true, n.now
+	sc.up, sc.lastUsed, sc.lastHeard = true, n.now, n.now
 	if sc.probePending {
 		sc.probePending = false
 		n.sendProbe(sc)
