node: the TEARDOWN of a given-up SETUP outlives the connection that carries it

Callers saw: a SETUP that was cancelled, or answered after it had been given up, stood at its server for nobody if the connection was reset as the node withdrew it. Cause: cancelSetup and handleLateAnswer sent the TEARDOWN as part of the connection (send), not as a message about a session (sendRetained); a cancel on a connection that had just ended was not sent at all. Change: both are retained; a cancel is sent again as the release of what it may have established. A SETUP that timed out alone on its connection is withdrawn by the connection's close, as before, so silent servers cost no new connections.

--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -163,6 +163,12 @@
 	if to < 0 {
 		return false
 	}
+	c.retain(now, m, to)
+	return true
+}
+
+// retain retains a message for the case that the connection ends before what was queued up to offset end must have arrived.
+func (c *conn) retain(now float64, m sessionMessage, end int64) {
 	written := c.bytesWritten()
 	c.retained = slices.DeleteFunc(c.retained, func(k retainedMessage) bool {
 		return k.end <= written && now-k.queuedAt > share.AssumedArrivalSeconds
@@ -170,8 +176,7 @@
 	if len(c.retained) >= maxRetainedMessages { // the oldest is the most likely to have arrived
 		c.retained = slices.Delete(c.retained, 0, 1)
 	}
-	c.retained = append(c.retained, retainedMessage{m, to, now})
-	return true
+	c.retained = append(c.retained, retainedMessage{m, end, now})
 }
 
 // undelivered returns the retained messages that may not have arrived, given how many bytes were written by the end of
--- a/internal/node/owed_test.go
+++ b/internal/node/owed_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"slices"
 	"testing"
+	"time"
 
 	"rainhaven/choice"
 	"rainhaven/internal/rtsp"
@@ -81,3 +82,41 @@
 		t.Errorf("released %s", x.msg.Session())
 	}
 }
+
+// A client cancels a request, and the connection to its server is reset before the server can have read the TEARDOWN: the server
+// may have established the session, so it gets the TEARDOWN over another connection.
+func TestCancelLostWithItsConnection(t *testing.T) {
+	h, s1 := newSingleServerHarness(t, 256)
+	cl := h.connect()
+	cl.setup(testID(1), "free", "")
+	x, _ := h.expectAt(rtsp.Setup, s1)
+	cl.tearDown(testID(1), 0)
+	cl.expect("200")
+	h.expectAt(rtsp.TearDown, s1)
+	x.conn.reset()
+	if y, _ := h.expectAt(rtsp.TearDown, s1); y.msg.Session() != testID(1) || parseCause(y.msg) != causeMoved || y.conn == x.conn {
+		t.Errorf("released %+v, on the same connection: %v", y.msg.Header, y.conn == x.conn)
+	}
+}
+
+// A server answers a SETUP that the node has given up, and the connection is reset as the node tears the session down: the TEARDOWN
+// goes over another connection.
+func TestTeardownOfALateAnswerLostWithItsConnection(t *testing.T) {
+	h, s1 := newSingleServerHarness(t, 256)
+	cl := h.connect()
+	h.established(s1, cl, testID(2))
+	cl.setup(testID(1), "free", "")
+	x, _ := h.expectAt(rtsp.Setup, s1)
+	cl.tearDown(testID(1), 0)
+	cl.expect("200")
+	h.expectAt(rtsp.TearDown, s1)
+	time.Sleep(300 * time.Millisecond) // the cancel must have arrived
+	x.conn.answer(x.msg, 200, answerBody)
+	if y, _ := h.expectAt(rtsp.TearDown, s1); y.msg.Session() != testID(1) || parseCause(y.msg) != causeMoved {
+		t.Errorf("released %+v", y.msg.Header)
+	}
+	x.conn.reset()
+	if y, _ := h.expectAt(rtsp.TearDown, s1); y.msg.Session() != testID(1) || parseCause(y.msg) != causeMoved {
+		t.Errorf("released %+v", y.msg.Header)
+	}
+}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -105,7 +105,7 @@
 	case s != nil && s.state == attempting && s.conn == sc:
 		n.handleSetupAnswer(s, m, readAt)
 	case s == nil:
-		n.handleLateAnswer(sv, sc, m)
+		n.handleLateAnswer(sv, m)
 	}
 }
 
@@ -118,20 +118,16 @@
 	case m.Method == rtsp.Announce && s != nil:
 		n.handleNote(sc.server, s, m)
 	case !m.IsRequest():
-		n.handleLateAnswer(sc.server, sc, m)
+		n.handleLateAnswer(sc.server, m)
 	}
 }
 
 // handleLateAnswer handles the answer to a SETUP that was given up before (abandonedSetups): a session that it set up is
 // released at its server.
-func (n *Node) handleLateAnswer(sv *server, sc *serverConn, m *rtsp.Message) {
+func (n *Node) handleLateAnswer(sv *server, m *rtsp.Message) {
 	if m.Status == rtsp.OK && n.abandonedSetups[m.Session()] == sv {
 		delete(n.abandonedSetups, m.Session())
-		if sc.closed {
-			n.tearDownAtServer(sv, mediaRoot, m.Session())
-		} else {
-			sc.send(teardownMessage(mediaRoot, m.Session(), causeMoved))
-		}
+		n.tearDownAtServer(sv, mediaRoot, m.Session())
 	}
 }
 
--- a/internal/node/sessions.go
+++ b/internal/node/sessions.go
@@ -95,14 +95,20 @@
 }
 
 // cancelSetup notifies a server that a SETUP is cancelled. If the server was silent and no other SETUP is in flight on the
-// connection, the connection is retired.
+// connection, the connection is retired, which cancels the SETUP as well. If the connection ends before the message must have
+// arrived, what the SETUP may have established is torn down over another one.
 func (n *Node) cancelSetup(s *session, silent bool) {
 	sc := s.conn
-	sc.send(teardownMessage(s.url, s.id, 0))
+	_, end := sc.send(teardownMessage(s.url, s.id, 0))
 	n.awaitLateAnswer(s)
-	if silent && len(sc.setups) == 1 {
+	switch {
+	case end < 0: // the connection has ended
+		n.tearDownAtServer(s.server, s.url, s.id)
+	case silent && len(sc.setups) == 1:
 		n.detachSetup(s)
 		n.closeServerConn(sc)
+	default:
+		sc.retain(n.now, sessionMessage{id: s.id, data: teardownMessage(s.url, s.id, causeMoved)}, end)
 	}
 }
 
