node: the only open connection of a server with sessions is neither retired nor evicted

Callers saw: a server that drained, was removed and played its last sessions on had them reported as lost (cause 41) after 0.8 of the idle time, as the node retired the only connection on which they could be released. At the limit of descriptors a server could lose its only open connection while another was being dialled. Cause: checkServers retires an unused connection whatever stands at its server, and the server, gone from the list, gets no other; reserveServerConn counted connections that were not open yet. Evidence: TestRemovedServerKeepsItsConnection failed before ('released ... cause=41') and TestOnlyOpenConnectionIsNotEvicted too; both pass now. Change: share.MustKeep and share.MayEvict decide; a connection that must be kept is probed instead of retired. Measured: go test ./choice/share; ./internal/node -run 'TestRemovedServer|TestOnlyOpen|Server|Conn|Descr' passes.

--- a/choice/share/share.go
+++ b/choice/share/share.go
@@ -79,6 +79,14 @@
 // after idle seconds.
 func Stale(now, lastUsed, idle float64) bool { return idle > 0 && now-lastUsed > 0.8*idle }
 
+// MayEvict reports whether a connection to a server may be closed in favour of another server's: not the only open one of a server
+// with established sessions, as their releases arrive on it.
+func MayEvict(sessions, open int) bool { return sessions == 0 || open > 1 }
+
+// MustKeep reports whether a connection is kept open however long it is unused: the only open one of a server with established
+// sessions that is gone from the list, as its address may belong to another server and no further one is opened.
+func MustKeep(gone bool, sessions, open int) bool { return gone && !MayEvict(sessions, open) }
+
 // silenceGraceSeconds is how long a new connection may be silent without a lower rank: usual viewers send within
 // milliseconds.
 const silenceGraceSeconds = 0.25
--- a/choice/share/share_test.go
+++ b/choice/share/share_test.go
@@ -103,3 +103,23 @@
 		}
 	}
 }
+
+// A server's only open connection is not closed while it has sessions, and is kept in use once no other can be opened.
+func TestOnlyOpenConnection(t *testing.T) {
+	for _, c := range []struct {
+		gone           bool
+		sessions, open int
+		evict, keep    bool
+	}{
+		{false, 0, 1, true, false},
+		{false, 3, 1, false, false},
+		{false, 3, 2, true, false},
+		{true, 0, 1, true, false},
+		{true, 3, 1, false, true},
+		{true, 3, 2, true, false},
+	} {
+		if evict, keep := MayEvict(c.sessions, c.open), MustKeep(c.gone, c.sessions, c.open); evict != c.evict || keep != c.keep {
+			t.Errorf("%+v: evict %v, keep %v", c, evict, keep)
+		}
+	}
+}
--- a/internal/node/owed_test.go
+++ b/internal/node/owed_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"slices"
@@ -8,6 +9,7 @@
 	"time"
 
 	"rainhaven/choice"
+	"rainhaven/choice/share"
 	"rainhaven/internal/rtsp"
 )
 
@@ -120,3 +122,43 @@
 		t.Errorf("released %+v", y.msg.Header)
 	}
 }
+
+// A server is removed from the list and plays its last sessions on: the connection on which it will release them is not closed as
+// idle, as no other could be opened. Its sessions were released as lost while they played.
+func TestRemovedServerKeepsItsConnection(t *testing.T) {
+	h, s1 := newSingleServerHarness(t, 256)
+	feed := h.acceptFollower()
+	cl := h.connect()
+	server := h.established(s1, cl, testID(1))
+	const idleTimeout = 0.5
+	h.inspect(func(n *Node) { n.config.IdleTimeout = idleTimeout })
+	fmt.Fprintf(feed, "%s\n", listEvent(2, false, listEntry("s-1", s1.Addr().String(), "removed")))
+	h.waitFor("the server is removed", func(n *Node) bool { return n.servers[0].state == choice.Gone })
+	for range 12 { // longer than the idle timeout
+		time.Sleep(50 * time.Millisecond)
+		server.sendf("ANNOUNCE rtsp://media/t1 RTSP/1.0\r\nSession: %s\r\nX-Note: link_use\r\nX-Reading: 0.5\r\nContent-Length: 0\r\n\r\n", testID(1))
+	}
+	server.tearDown(testID(1), causeFinished)
+	if m := cl.expectWithin(releaseLimit, rtsp.TearDown); parseCause(m) != causeFinished {
+		t.Errorf("released %+v", m.Header)
+	}
+}
+
+// At the limit of descriptors no server loses its only open connection to a new one while it has sessions, even if it is being
+// dialled as well.
+func TestOnlyOpenConnectionIsNotEvicted(t *testing.T) {
+	h, s1 := newSingleServerHarness(t, 256)
+	h.established(s1, h.connect(), testID(1))
+	h.inspect(func(n *Node) {
+		sv, descriptors := n.servers[0], n.config.MaxDescriptors
+		open := slices.Clone(sv.conns)
+		n.config.MaxDescriptors = 1
+		for len(sv.conns) < share.MaxServerConns(1) {
+			sv.conns = append(sv.conns, &serverConn{server: sv, cancelDial: func() {}})
+		}
+		if n.reserveServerConn() || open[0].closed {
+			t.Error("the only open connection gave way to a new one")
+		}
+		sv.conns, n.config.MaxDescriptors = open, descriptors
+	})
+}
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -73,14 +73,18 @@
 	n.removeServerIfGone(sv)
 }
 
-// checkServers retires idle connections and checks the liveness of servers with established sessions or pending messages.
+// checkServers retires idle connections, or probes on those that must be kept, and checks the liveness of servers with established sessions or pending messages.
 func (n *Node) checkServers() {
 	for _, sv := range slices.Clone(n.servers) {
 		up, opening := 0, false
 		for _, sc := range slices.Clone(sv.conns) {
 			if sc.up && len(sc.setups) == 0 && sv.probeConn != sc && share.Stale(n.now, sc.lastUsed, n.config.IdleTimeout) {
-				n.closeServerConn(sc)
-				continue
+				if share.MustKeep(sv.state == choice.Gone, len(sv.sessions), sv.openConns()) {
+					n.probe(sv) // the server closes idle connections as well
+				} else {
+					n.closeServerConn(sc)
+					continue
+				}
 			}
 			if sc.up {
 				up++
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -55,6 +55,16 @@
 	return count
 }
 
+// openConns returns how many connections to the server are open.
+func (sv *server) openConns() (count int) {
+	for _, sc := range sv.conns {
+		if sc.up && !sc.isClosing() {
+			count++
+		}
+	}
+	return count
+}
+
 // sendSetup sends a SETUP on an open connection.
 func (n *Node) sendSetup(s *session, sc *serverConn) {
 	timeout := s.setupDeadline - n.now
--- a/internal/node/serverconn.go
+++ b/internal/node/serverconn.go
@@ -68,7 +68,7 @@
 	var list []share.ServerConn
 	for _, sv := range n.servers {
 		for _, sc := range sv.conns {
-			if sc.up && sv.probeConn != sc && (len(sv.sessions) == 0 || len(sv.conns) > 1) {
+			if sc.up && sv.probeConn != sc && share.MayEvict(len(sv.sessions), sv.openConns()) {
 				conns, list = append(conns, sc), append(list, share.ServerConn{Up: true, Pending: len(sc.setups), LastUsed: sc.lastUsed})
 			}
 		}
