node: messages about sessions wait for room instead of overrunning a connection's queue

Callers saw: where more releases were due at once than the 256 kB queue of a connection takes, as when many waited for the next connection, the excess closed that connection, and the next ones after it; on a server's connection every SETUP in flight went with it. Cause: what waits was flushed in one go, and a message past the queue's limit closes the connection. A server whose connection is open but full is not dialled anew, and what is due to one that is gone from the list waits too while a connection is open.

--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -157,8 +157,20 @@
 	queuedAt float64
 }
 
-// sendRetained queues a message as send does and retains it for the case that the connection ends.
+// hasRoom reports whether the queue takes a further message about a session. Half of it is left to answers, as a message past its
+// limit closes the connection.
+func (c *conn) hasRoom() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.buffer) < maxQueuedBytes/2
+}
+
+// sendRetained queues a message as send does and retains it for the case that the connection ends. It returns false if the
+// connection is closing or has no room.
 func (c *conn) sendRetained(now float64, m sessionMessage) bool {
+	if !c.hasRoom() {
+		return false
+	}
 	_, to := c.send(m.data)
 	if to < 0 {
 		return false
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -89,7 +89,7 @@
 	serversByID     map[string]*server          // removed with servers
 	abandonedSetups map[string]*server          // SETUPs ended unanswered, by session id; removed after rememberSeconds
 	endedSessions   map[string]*endedSession    // at most maxRemembered; removed after rememberSeconds
-	pendingReleases []*pendingRelease           // at most maxRemembered; dropped when they expire
+	pendingReleases []*pendingRelease           // at most maxPendingReleases; dropped when they expire
 	clients         []*client
 	clientSlots     *connSlots    // bounds the client connections
 	acceptDone      chan struct{} // closed when the accept loop ends
--- a/internal/node/owed_test.go
+++ b/internal/node/owed_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -162,3 +163,26 @@
 		sv.conns, n.config.MaxDescriptors = open, descriptors
 	})
 }
+
+// More messages are due to a server than its connection takes at present: the rest waits. The excess closed the connection, and
+// every SETUP on it was lost.
+func TestMessagesWaitForRoomOnAServerConnection(t *testing.T) {
+	h, s1 := newSingleServerHarness(t, 256)
+	stalled := h.addStalledServerConn()
+	url := mediaRoot + strings.Repeat("t", 200)
+	const count = maxRemembered
+	h.inspect(func(n *Node) {
+		for k := range count {
+			n.tearDownAtServer(n.servers[0], url, testID(k))
+		}
+		if stalled.isClosing() || len(n.servers[0].conns) != 1 {
+			t.Errorf("the connection is closing: %v; connections: %d", stalled.isClosing(), len(n.servers[0].conns))
+		}
+	})
+	h.breakServerConn(stalled)
+	got := map[string]bool{}
+	for len(got) < count {
+		x, _ := h.expectAt(rtsp.TearDown, s1)
+		got[x.msg.Session()] = true
+	}
+}
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -93,6 +93,7 @@
 			}
 		}
 		sv.pendingMessages = slices.DeleteFunc(sv.pendingMessages, func(pending pendingMessage) bool { return n.now >= pending.expiresAt })
+		n.sendPendingMessages(sv)
 		if len(sv.sessions) == 0 && len(sv.pendingMessages) == 0 {
 			sv.liveness = liveness.Monitor{}
 			n.removeServerIfGone(sv)
--- a/internal/node/release.go
+++ b/internal/node/release.go
@@ -8,6 +8,9 @@
 	"rainhaven/choice/carrier"
 )
 
+// maxPendingReleases bounds the pending releases: as many as the sessions that a large node holds. What exceeds it is dropped.
+const maxPendingReleases = 8192
+
 // pendingRelease is the release of an ended session that may not have reached the session's client: no connection was open, or
 // only one whose peer may not handle sessions.
 type pendingRelease struct {
@@ -55,7 +58,7 @@
 	if n.sendPendingRelease(r, n.releaseCarrier()) {
 		return
 	}
-	if len(n.pendingReleases) >= maxRemembered {
+	if len(n.pendingReleases) >= maxPendingReleases {
 		n.dropRelease(r, "too many wait")
 		return
 	}
@@ -89,7 +92,7 @@
 	if r.sent().Settled() {
 		return true
 	}
-	if best == nil || !r.sent().Repeat(best.relation()) {
+	if best == nil || !r.sent().Repeat(best.relation()) || !best.hasRoom() {
 		return false
 	}
 	relation := best.relation()
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"slices"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -264,3 +265,25 @@
 		t.Errorf("%d dials were to fail before", left)
 	}
 }
+
+// More releases wait than fit into a connection's queue: the next connection gets them all. It was closed by the excess, and so was
+// each one after it.
+func TestManyReleasesOnOneConnection(t *testing.T) {
+	h, _ := newSingleServerHarness(t, 256)
+	url := mediaRoot + strings.Repeat("t", 200)
+	const count = maxRemembered
+	h.inspect(func(n *Node) {
+		for k := range count {
+			n.releaseToClient(nil, testID(k), teardownMessage(url, testID(k), causeFinished))
+		}
+	})
+	cl := h.connect()
+	got := map[string]bool{}
+	for end := time.Now().Add(testTimeout); len(got) < count && time.Now().Before(end); {
+		m := cl.expect(rtsp.TearDown)
+		got[m.Session()] = true
+	}
+	if len(got) < count {
+		t.Errorf("%d of %d releases arrived", len(got), count)
+	}
+}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -141,7 +141,8 @@
 	}
 }
 
-// trySendToServer sends a message that belongs to no SETUP on the open connection that best carries it; false if there is none.
+// trySendToServer sends a message that belongs to no SETUP on the open connection that best carries it; false if there is none, or
+// none with room.
 func (n *Node) trySendToServer(sv *server, m sessionMessage) bool {
 	var open []*serverConn
 	var candidates []carrier.Conn
@@ -159,21 +160,36 @@
 	return true
 }
 
-// sendToServer sends a message like trySendToServer. If no connection is open, the message waits and one is dialled, unless the
-// server is gone from the list: its address may already belong to another one.
+// sendToServer sends a message like trySendToServer. If that fails, the message waits. If no connection is open, one is dialled, unless
+// the server is gone from the list: its address may already belong to another one.
 func (n *Node) sendToServer(sv *server, m sessionMessage) {
-	if n.trySendToServer(sv, m) || sv.state == choice.Gone || len(sv.pendingMessages) >= maxRemembered {
+	if n.trySendToServer(sv, m) || len(sv.pendingMessages) >= maxRemembered {
+		return
+	}
+	if sv.state == choice.Gone && sv.openConns() == 0 {
 		return
 	}
 	if m.rungOf != nil { // takes the place of an earlier rung
 		sv.pendingMessages = slices.DeleteFunc(sv.pendingMessages, func(o pendingMessage) bool { return o.rungOf == m.rungOf })
 	}
 	sv.pendingMessages = append(sv.pendingMessages, pendingMessage{m, n.now + pendingSeconds})
-	if !slices.ContainsFunc(sv.conns, func(sc *serverConn) bool { return !sc.up }) {
+	if sv.openConns() == 0 && !slices.ContainsFunc(sv.conns, func(sc *serverConn) bool { return !sc.up }) {
 		n.dialServer(sv)
 	}
 }
 
+// sendPendingMessages sends the messages that wait for a connection to a server, as far as an open one has room for them.
+func (n *Node) sendPendingMessages(sv *server) {
+	sent := 0
+	for _, m := range sv.pendingMessages {
+		if !n.trySendToServer(sv, m.sessionMessage) {
+			break
+		}
+		sent++
+	}
+	sv.pendingMessages = slices.Delete(sv.pendingMessages, 0, sent)
+}
+
 // tearDownAtServer ends a session at its server, or cancels a SETUP there that may have established it.
 func (n *Node) tearDownAtServer(sv *server, url, id string) {
 	n.sendToServer(sv, sessionMessage{id: id, data: teardownMessage(url, id, causeMoved)})
--- a/internal/node/serverconn.go
+++ b/internal/node/serverconn.go
@@ -204,11 +204,7 @@
 		sc.probePending = false
 		n.sendProbe(sc)
 	}
-	pending := sc.server.pendingMessages
-	sc.server.pendingMessages = nil
-	for _, o := range pending {
-		sc.sendRetained(n.now, o.sessionMessage)
-	}
+	n.sendPendingMessages(sc.server)
 	for _, s := range slices.Clone(sc.setups) {
 		n.sendSetup(s, sc)
 	}
