front: a session that no viewer has is torn down until its box can be reached

Callers saw: a session that a box set up after its SETUP had been withdrawn held its seat until the box's own timeout if the one connection tried for its TEARDOWN did not come up or had been closed at rest. Cause: tearDownOrphan tried one connection once, pooled or new. Evidence: TestOrphanAtABoxThatIsUnreachable failed before ('not reached within 15 s: the orphaned session is torn down') and passes now. Change: orphan.go tries again each 0.25 s for 8 s, at most 256 sessions at a time, until the box is gone from the list; both limits stand in choice/limits. Measured: go test ./internal/front -run 'TestOrphanAt|TestLate' passes.

--- a/choice/limits/limits.go
+++ b/choice/limits/limits.go
@@ -62,6 +62,11 @@
 	LateAnswerWait = 10.0
 	// MaxLateAnswers is the number of such waits at a time; beyond it a withdrawn SETUP's connection is closed at once.
 	MaxLateAnswers = 128
+	// OrphanTimeout is the time in seconds for which a session that no viewer has is torn down again and again at a box that
+	// can't be reached, OrphanRetryInterval the time in seconds between two attempts, and MaxOrphans the number of such
+	// sessions at a time. What exceeds them is left to the box's own session timeout.
+	OrphanTimeout, OrphanRetryInterval = 8.0, 0.25
+	MaxOrphans                         = 256
 	// ClaimTimeout is the time in seconds for a viewer to claim a session that was handed over. It notices the lost
 	// connection at once and reconnects within a second or two; boxes keep sessions without a connection for some seconds.
 	ClaimTimeout = 10.0
--- a/internal/front/boxes.go
+++ b/internal/front/boxes.go
@@ -336,27 +336,6 @@
 	c.out.Finish()
 }
 
-// tearDownOrphan tears down a session that a box set up after its SETUP was cancelled. It tries once, over another
-// connection.
-func (f *Front) tearDownOrphan(box choice.ServerID, url, name string) {
-	f.connect(f.ctx, box, func(c *boxConn) {
-		if c == nil {
-			f.metrics.orphans.WithLabelValues("left").Inc()
-			return
-		}
-		timer := time.AfterFunc(2*time.Second, func() { f.post(c.close) })
-		c.send(rtsp.NewRequest(rtsp.TearDown, url).WithHeader("Session", name), func(m *rtsp.Message) {
-			timer.Stop()
-			if m == nil {
-				f.metrics.orphans.WithLabelValues("left").Inc()
-				return
-			}
-			f.metrics.orphans.WithLabelValues("torn down").Inc()
-			c.releaseOrClose(pool.Reusable(m.Status, true))
-		})
-	})
-}
-
 // SendOp implements session.Actions.
 func (a frontActions) SendOp(id choice.SessID, attempt int, op session.Op, arg int) {
 	f := a.f
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -101,6 +101,7 @@
 	descriptions     *describe.Cache
 	pendingDescribes map[string][]pendingDescribe // unanswered DESCRIBE requests by title; removed when answered
 	lateAnswers      int                          // cancelled SETUPs whose answer is still awaited
+	orphans          int                          // sessions that are being torn down by tearDownOrphan
 	lastConnID       uint64
 	deferred         []func()        // callbacks queued by actions; run by reconcile
 	finalSnapshot    choice.Snapshot // set when the loop ends
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -42,6 +42,11 @@
 }
 
 func newHarness(t testing.TB, boxes int, adjust func(*settings.Config, *box.Config)) *harness {
+	return newHarnessWithDial(t, boxes, adjust, nil)
+}
+
+// newHarnessWithDial is newHarness with another way to connect to boxes; nil is the front's own.
+func newHarnessWithDial(t testing.TB, boxes int, adjust func(*settings.Config, *box.Config), dial func(context.Context, string) (net.Conn, error)) *harness {
 	epoch := time.Now()
 	base := float64(epoch.UnixNano()) / 1e9
 	b := &harness{t: t, now: func() float64 { return base + time.Since(epoch).Seconds() }, reg: prometheus.NewRegistry()}
@@ -73,7 +78,7 @@
 		b.config.Boxes = append(b.config.Boxes, settings.Box{Address: x.Address,
 			Listing: choice.Listing{ID: choice.ServerID(i + 1), Cell: i, State: choice.Ready, Weight: 1}})
 	}
-	o := front.Options{Registry: b.reg}
+	o := front.Options{Registry: b.reg, Dial: dial}
 	if b.config.BoxTLS.RootsFile != "" {
 		if b.roots, err = keys.OpenRoots(b.config.BoxTLS.RootsFile, zap.NewNop()); err != nil {
 			t.Fatal(err)
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -32,7 +32,7 @@
 		setups:           counterVec("setups_total", "SETUPs sent to boxes, by outcome.", "outcome"),
 		ends:             counterVec("ends_total", "Ended sessions that had been served, by cause.", "cause"),
 		probes:           counterVec("probes_total", "Probes of boxes, by outcome.", "outcome"),
-		orphans:          counterVec("orphans_total", "Sessions that boxes set up after their SETUP was cancelled, by result.", "result"),
+		orphans:          counterVec("orphans_total", "Sessions at boxes whose SETUP was cancelled or whose TEARDOWN was lost, by result.", "result"),
 		descriptions:     counterVec("descriptions_total", "Descriptions requested from boxes, by outcome.", "outcome"),
 		malformed:        counter("malformed_total", "Viewer connections closed because of malformed input."),
 		unauthorized:     counter("unauthorized_total", "Viewer requests with wrong credentials."),
