front: a TEARDOWN that was lost with its connection is sent over another one

Callers saw: a viewer ended its session, the box's connection broke before the TEARDOWN was answered, and the session kept its seat until the box's own timeout. Cause: handleBoxClosed counts the session as ended and forgets it; the box may keep sessions without a connection for some seconds (limits.ClaimTimeout's reason). Change: a connection remembers the URL of the session whose TEARDOWN is unanswered; if it ends, the session is torn down as an orphan (orphan.go).

--- a/internal/front/boxes.go
+++ b/internal/front/boxes.go
@@ -38,8 +38,10 @@
 	attempt    int
 	boxSession string // session id at the box
 	rung       int    // requested last
-	cancelled  bool
-	closed     bool
+	// tearDownURL is the URL of the session whose TEARDOWN is unanswered; empty if there is none.
+	tearDownURL string
+	cancelled   bool
+	closed      bool
 }
 
 // connect passes an idle or new connection to a box to onConn, or nil if there is none. onConn runs in the loop, after the
@@ -207,6 +209,9 @@
 			onAnswer(nil)
 		}
 	}
+	if c.tearDownURL != "" { // the box may not have received the TEARDOWN
+		f.tearDownOrphan(c.box, c.tearDownURL, c.boxSession)
+	}
 	if sess := c.session; sess != nil && f.connOf[sess.id] == c {
 		delete(f.connOf, sess.id)
 		f.log.Info("connection to a box broke", zap.Uint32("box", uint32(c.box)), zap.String("session", string(sess.id)), zap.Error(err))
@@ -369,6 +374,7 @@
 	case session.TearDown:
 		m = rtsp.NewRequest(rtsp.TearDown, c.url(sess, -1))
 		c.stream.Store(nil)
+		c.tearDownURL = c.url(sess, -1)
 	}
 	c.send(m.WithHeader("Session", c.boxSession), func(m *rtsp.Message) {
 		if m == nil {
@@ -378,6 +384,7 @@
 		case session.Play:
 			sess.playAnswer = m
 		case session.TearDown:
+			c.tearDownURL = ""
 			delete(f.connOf, id)
 			c.releaseOrClose(pool.Reusable(m.Status, true))
 		}
