front: a session that is handed over outlives a failed connection to its box

Callers saw: a viewer that came back after an upgrade got 454, and its session had ended, if the one connection that the new process tried to its box did not come up. Cause: addHandedOver tried once; a failed dial ended a session that its box still held. Evidence: TestHandedOverWhileABoxIsUnreachable failed before ('454 Session Not Found') and passes now. Change: the connection is tried each 0.1 s for 2 s (choice/limits); if the viewer has left by then, the session is torn down at its box instead of being attached to nobody. Measured: go test ./internal/front ./internal/daemon ./choice/... passes.

--- a/choice/limits/limits.go
+++ b/choice/limits/limits.go
@@ -70,4 +70,7 @@
 	// ClaimTimeout is the time in seconds for a viewer to claim a session that was handed over. It notices the lost
 	// connection at once and reconnects within a second or two; boxes keep sessions without a connection for some seconds.
 	ClaimTimeout = 10.0
+	// AdoptTimeout is the time in seconds for a connection to the box of a session that was handed over, and
+	// AdoptRetryInterval the time in seconds between two attempts. Boxes drop such a session after about as long.
+	AdoptTimeout, AdoptRetryInterval = 2.0, 0.1
 )
--- a/internal/front/handover.go
+++ b/internal/front/handover.go
@@ -75,27 +75,7 @@
 	f.sessions[sess.id] = sess
 	f.table.AddHandedOver(sess.id, session.Request{Group: g, Title: h.Title, StartCell: title.StartCell, CellCount: title.CellCount, BestRung: h.BestRung,
 		Length: title.Length}, h.Box, h.Rung)
-	f.connect(f.ctx, h.Box, func(c *boxConn) {
-		earlyOps := sess.earlyOps
-		sess.adopting, sess.earlyOps = false, nil
-		defer func() {
-			for _, e := range earlyOps {
-				f.table.RequestOp(sess.id, e.op, e.number)
-			}
-		}()
-		if c == nil {
-			f.table.BoxFailed(sess.id, 1)
-			return
-		}
-		c.session, c.attempt, c.boxSession, c.rung = sess, 1, h.BoxSession, h.Rung
-		c.stream.Store(sess.stream)
-		f.connOf[sess.id] = c
-		c.send(rtsp.NewRequest(rtsp.GetParameter, c.url(sess, -1)).WithHeader("Session", h.BoxSession), func(m *rtsp.Message) {
-			if m != nil {
-				f.table.OpAnswered(sess.id, 1, session.KeepAlive, 0, m.Status, parseLoadReport(m))
-			}
-		})
-	})
+	f.connectHandedOver(sess, h, f.now()+limits.AdoptTimeout)
 	time.AfterFunc(time.Duration(limits.ClaimTimeout*1e9), func() {
 		f.post(func() {
 			if f.sessions[sess.id] == sess && sess.viewer == nil {
@@ -105,6 +85,49 @@
 	})
 }
 
+// connectHandedOver connects a handed over session to its box, which keeps it for some seconds without a connection. Failed attempts
+// are repeated until the given time.
+func (f *Front) connectHandedOver(sess *frontSession, h HandoverSession, until float64) {
+	f.connect(f.ctx, h.Box, func(c *boxConn) {
+		if f.sessions[sess.id] != sess { // its viewer has left
+			if c != nil {
+				f.tearDownOrphan(h.Box, c.url(sess, -1), h.BoxSession)
+				c.release()
+			}
+			return
+		}
+		if c == nil && f.now()+limits.AdoptRetryInterval < until {
+			time.AfterFunc(time.Duration(limits.AdoptRetryInterval*1e9), func() { f.post(func() { f.connectHandedOver(sess, h, until) }) })
+			return
+		}
+		f.adopted(sess, h, c)
+	})
+}
+
+// adopted continues a handed over session on a connection to its box, or ends it if there is none, and then handles the requests
+// that its viewer has sent meanwhile.
+func (f *Front) adopted(sess *frontSession, h HandoverSession, c *boxConn) {
+	earlyOps := sess.earlyOps
+	sess.adopting, sess.earlyOps = false, nil
+	defer func() {
+		for _, e := range earlyOps {
+			f.table.RequestOp(sess.id, e.op, e.number)
+		}
+	}()
+	if c == nil {
+		f.table.BoxFailed(sess.id, 1)
+		return
+	}
+	c.session, c.attempt, c.boxSession, c.rung = sess, 1, h.BoxSession, h.Rung
+	c.stream.Store(sess.stream)
+	f.connOf[sess.id] = c
+	c.send(rtsp.NewRequest(rtsp.GetParameter, c.url(sess, -1)).WithHeader("Session", h.BoxSession), func(m *rtsp.Message) {
+		if m != nil {
+			f.table.OpAnswered(sess.id, 1, session.KeepAlive, 0, m.Status, parseLoadReport(m))
+		}
+	})
+}
+
 // claim attaches a handed over session to the viewer that named it, unless its channels are in use on the connection.
 func (v *viewer) claim(sess *frontSession) {
 	for _, t := range sess.tracks {
