node: the loop runs when the drain ends, not up to 0.1 s later

Callers saw: a node whose sessions play to the drain's end exited up to 0.1 s late, which with the 0.12 s of the exit itself comes to the instant of SIGKILL (longest setup timeout plus 0.7 s). Cause: the loop waits for the module's timer, its timeouts and maintenance, but not for lifecycle.NextWakeup. TestLoopRunsAtTheEndOfTheDrain fails without the mend ('0.050 s after the drain's end'). Change: nextWakeup asks the lifecycle too.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -223,13 +223,7 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for !n.exiting {
-		next := n.maintainedAt + maintenanceInterval
-		if n.wakeAt > 0 {
-			next = min(next, n.wakeAt)
-		}
-		if len(n.timeouts) > 0 {
-			next = min(next, n.timeouts[0].at)
-		}
+		next := n.nextWakeup()
 		n.updateClock()
 		timer.Reset(time.Duration(max(next-n.now, 0) * float64(time.Second)))
 		var e event
@@ -288,6 +282,21 @@
 		slices.ContainsFunc(n.servers, func(sv *server) bool { return len(sv.pendingMessages) > 0 })
 }
 
+// nextWakeup returns when the loop has to run next without an event.
+func (n *Node) nextWakeup() float64 {
+	next := n.maintainedAt + maintenanceInterval
+	if n.wakeAt > 0 {
+		next = min(next, n.wakeAt)
+	}
+	if len(n.timeouts) > 0 {
+		next = min(next, n.timeouts[0].at)
+	}
+	if at := n.lifecycle.NextWakeup(); at > 0 {
+		next = min(next, at)
+	}
+	return next
+}
+
 // logCountMismatches logs, once a second and at level debug only, the servers for which the module's count of sessions differs
 // from the node's.
 func (n *Node) logCountMismatches() {
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -287,3 +287,19 @@
 		t.Errorf("%d of %d releases arrived", len(got), count)
 	}
 }
+
+// The loop runs when the drain ends. It ran up to a maintenance interval later, which left the exit too little time before SIGKILL.
+func TestLoopRunsAtTheEndOfTheDrain(t *testing.T) {
+	h, s1 := newSingleServerHarness(t, 256)
+	h.established(s1, h.connect(), testID(1))
+	h.sendTerminate()
+	h.inspect(func(n *Node) {
+		end := n.lifecycle.NextWakeup()
+		timeouts := n.timeouts
+		n.maintainedAt, n.wakeAt, n.timeouts = end-maintenanceInterval/2, 0, nil
+		if next := n.nextWakeup(); next != end {
+			t.Errorf("the loop runs %.3f s after the drain's end", next-end)
+		}
+		n.maintainedAt, n.timeouts = n.now, timeouts
+	})
+}
