soak: a reload leaves a starting process its configuration

Cause: a truncated configuration, meant for a running process, was written while another start had just written the whole one; the new process read half of it and exited with status 1 ('unexpected end of JSON input'). The soak's fault, not the node's. Change: start writes the file under the node's lock, and reload writes it only for a process that has become ready. Measured: TestReloadLeavesAStartingProcessItsConfiguration fails with the file cut in half before (the same write without the lock's condition) and passes now.

--- a/internal/lab/soak/node.go
+++ b/internal/lab/soak/node.go
@@ -56,14 +56,14 @@
 	if err != nil {
 		return err
 	}
-	if err := os.WriteFile(n.config(), text, 0o600); err != nil {
-		return err
-	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.stopped {
 		return nil
 	}
+	if err := os.WriteFile(n.config(), text, 0o600); err != nil {
+		return err
+	}
 	n.starts++
 	args := []string{"node", "--log", n.o.LogLevel, "--clock-offset", offset.String(), "--sabotage", string(n.o.Sabotage)}
 	if n.o.NetworkFaults {
@@ -207,17 +207,27 @@
 	if truncate {
 		text = text[:len(text)/2]
 	}
-	if os.WriteFile(n.config(), text, 0o600) != nil {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.hasStarted() || os.WriteFile(n.config(), text, 0o600) != nil { // a starting process must read its whole configuration
 		return
 	}
-	n.signal(syscall.SIGHUP)
+	n.signalLocked(syscall.SIGHUP)
 }
 
+// hasStarted reports whether the process has become ready, so that it has read its configuration. The lock is held.
+func (n *node) hasStarted() bool { return n.cmd != nil && (n.ready || n.terminatedAt > 0) }
+
 // signal sends a signal to the process if it is ready or terminating.
 func (n *node) signal(sig syscall.Signal) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.cmd == nil || !n.ready && n.terminatedAt == 0 {
+	n.signalLocked(sig)
+}
+
+// signalLocked is signal for callers that hold the lock.
+func (n *node) signalLocked(sig syscall.Signal) {
+	if !n.hasStarted() {
 		return
 	}
 	n.log.add(record{kind: nodeSignalled, node: n.index, detail: sig.String()})
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -239,3 +239,21 @@
 		}
 	}
 }
+
+// A reload leaves the configuration alone while a process starts: it read half a file and exited with status 1.
+func TestReloadLeavesAStartingProcessItsConfiguration(t *testing.T) {
+	l := &log{startedAt: time.Now()}
+	coord, err := newCoordinator(l)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer coord.close()
+	n := &node{folder: t.TempDir(), listen: "127.0.0.1:1", nodes: 1, log: l, coord: coord}
+	if err := os.WriteFile(n.config(), []byte("whole"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	n.reload(true)
+	if text, err := os.ReadFile(n.config()); err != nil || string(text) != "whole" {
+		t.Errorf("the configuration is %q, %v", text, err)
+	}
+}
