The end of a process does not wait for an fsync of its log

Callers saw: a front node that had ended in time was still running when SIGKILL came. Cause: defer log.Sync() ends in fsync(2) on standard error, which waits for the disk; the log is unbuffered, so it gains nothing.

--- a/cmd/rainhaven/main.go
+++ b/cmd/rainhaven/main.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -120,13 +121,17 @@
 			minLevel.SetLevel(n)
 		}
 	}
-	core := zapcore.NewCore(encoder, zapcore.Lock(os.Stderr), minLevel)
+	core := zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(unsyncedWriter{os.Stderr})), minLevel)
 	if l == zapcore.DebugLevel { // not sampled, so that every line of a request is kept
 		return zap.New(core), setLevel, nil
 	}
 	return zap.New(zapcore.NewSamplerWithOptions(core, 1e9, 100, 100)), setLevel, nil
 }
 
+// unsyncedWriter hides the Sync method of a file. What is written to standard error is with the system at once; an fsync of it at the
+// exit only waits for the disk, for longer than a process has between the end of its drain and SIGKILL.
+type unsyncedWriter struct{ io.Writer }
+
 func addLogFlags(c *cobra.Command, level, format *string) {
 	c.Flags().StringVar(level, "log", "info", "minimum log level: debug, info, warn, error")
 	c.Flags().StringVar(format, "log-format", "json", "log format: json or console")
