node: only a drain asks whether messages wait

Cause: the loop walked the list of servers for it on each turn without sessions. Change: asked only while the node drains.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -267,7 +267,7 @@
 		n.reconcile()
 		n.logCountMismatches()
 		n.lifecycle.SetTime(n.now)
-		if len(n.sessions) == 0 && !n.owesMessages() {
+		if len(n.sessions) == 0 && (n.ready || !n.owesMessages()) { // only a drain ends by it
 			n.lifecycle.Drained()
 		} else {
 			n.lifecycle.Resumed()
