node: the end of a session counts as arrived once its peer has answered or was heard since

Callers saw: a client ended a session while its server was unreachable; the connection took the TEARDOWN, was reset 0.8 s later, and the session played on until its own end. Cause: a message counted as arrived 0.25 s after it had been written, whatever its peer said since. TestTeardownUnheardBeforeAReset/silent and TestReleaseUnheardBeforeAReset/silent failed before and pass now.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -21,7 +21,6 @@
 	readControl
 	hasServed     bool // a session was served on this connection, or handed over on it
 	namesOthers   bool // it is namedOn for sessions of other connections
-	lastHeard     float64
 	closed        bool
 	pendingClose  closeReason // reason for closing it once its reader has stopped; empty if it stays open
 	readerStopped bool        // its reader has passed on all that it read
@@ -214,7 +213,8 @@
 	n.log.Debug("client connection ended", str("from", cl.peer()), str("why", errText(cl.readErr)), str("closed", string(cl.pendingClose)), zap.Bool("spoke", cl.SentMessage), zap.Float64("age", n.now-cl.OpenedAt), num("open", cl.Pending), num("standing", cl.Established))
 	n.abortOpenRequests(cl, false)
 	n.clients = slices.DeleteFunc(n.clients, func(o *client) bool { return o == cl })
-	for _, m := range cl.undelivered(n.now, cl.writtenTotal) {
+	orderly := cl.pendingClose != "" || errors.Is(cl.readErr, io.EOF)
+	for _, m := range cl.undelivered(n.now, cl.writtenTotal, orderly) {
 		n.releaseOnAnyConn(m.id, m.data)
 	}
 	if cl.namesOthers {
@@ -253,6 +253,9 @@
 		}
 		cl.send(responseMessage(m, status))
 	case "": // a response to a release, or one that answers no request
+		if m.Header.Get("Cseq") == cseqTearDown {
+			cl.acknowledge(m.Session())
+		}
 	case rtsp.Announce, rtsp.Redirect, rtsp.SetParameter: // no answer is expected
 	default:
 		n.rejectRequest(cl, m, rtsp.NotImplemented)
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -44,6 +44,7 @@
 	writtenTotal int64             // bytes that the system accepted
 	closing      bool              // nothing more is queued; closes once all is written
 	writing      bool              // the writer holds bytes that are not written yet
+	lastHeard    float64           // when its peer last sent a message, or when it was opened; used by the loop only
 	retained     []retainedMessage // releases and messages of established sessions; used by the loop only, at most maxRetainedMessages, dropped by age
 	failed       bool
 	wake         chan struct{}
@@ -147,6 +148,7 @@
 	id     string // of the session
 	data   []byte
 	rungOf *session // the session whose rung the message sets; nil for other messages
+	ends   bool     // it ends a session that stands, so it must arrive
 }
 
 // retainedMessage is a message about a session that was sent on a connection: if the connection ends before the message must have
@@ -157,6 +159,18 @@
 	queuedAt float64
 }
 
+// pending reports whether a message may not have arrived at a given time on a connection on which so many bytes were written. It has
+// not if its peer has said nothing on the connection since: the peer may have been unreachable all the time.
+func (k *retainedMessage) pending(now, lastHeard float64, written int64) bool {
+	switch age := now - k.queuedAt; {
+	case k.end > written || age <= share.AssumedArrivalSeconds:
+		return true
+	case !k.ends || age > pendingSeconds:
+		return false
+	}
+	return lastHeard <= k.queuedAt+share.AssumedArrivalSeconds
+}
+
 // hasRoom reports whether the queue takes a further message about a session. Half of it is left to answers, as a message past its
 // limit closes the connection.
 func (c *conn) hasRoom() bool {
@@ -182,20 +196,27 @@
 // retain retains a message for the case that the connection ends before what was queued up to offset end must have arrived.
 func (c *conn) retain(now float64, m sessionMessage, end int64) {
 	written := c.bytesWritten()
-	c.retained = slices.DeleteFunc(c.retained, func(k retainedMessage) bool {
-		return k.end <= written && now-k.queuedAt > share.AssumedArrivalSeconds
-	})
+	c.retained = slices.DeleteFunc(c.retained, func(k retainedMessage) bool { return !k.pending(now, c.lastHeard, written) })
 	if len(c.retained) >= maxRetainedMessages { // the oldest is the most likely to have arrived
 		c.retained = slices.Delete(c.retained, 0, 1)
 	}
 	c.retained = append(c.retained, retainedMessage{m, end, now})
 }
 
-// undelivered returns the retained messages that may not have arrived, given how many bytes were written by the end of
-// the connection.
-func (c *conn) undelivered(now float64, written int64) (list []sessionMessage) {
+// acknowledge drops the retained messages that end a session: its peer has answered one.
+func (c *conn) acknowledge(id string) {
+	c.retained = slices.DeleteFunc(c.retained, func(k retainedMessage) bool { return k.ends && k.id == id })
+}
+
+// undelivered returns the retained messages that may not have arrived by the end of the connection, given how many bytes were written
+// and whether its peer closed it in order, having read what was written.
+func (c *conn) undelivered(endedAt float64, written int64, orderly bool) (list []sessionMessage) {
+	lastHeard := c.lastHeard
+	if orderly {
+		lastHeard = endedAt
+	}
 	for _, k := range c.retained {
-		if k.end > written || now-k.queuedAt <= share.AssumedArrivalSeconds {
+		if k.pending(endedAt, lastHeard, written) {
 			list = append(list, k.sessionMessage)
 		}
 	}
--- a/internal/node/conn_test.go
+++ b/internal/node/conn_test.go
@@ -147,7 +147,7 @@
 			t.Fatalf("message %d was not queued", k)
 		}
 	}
-	list := c.undelivered(1, 1<<40)
+	list := c.undelivered(1, 1<<40, true)
 	if len(list) != maxRetainedMessages || string(list[maxRetainedMessages-1].data) != fmt.Sprintf("%08d", maxRetainedMessages+99) {
 		t.Errorf("%d messages are retained, the last is %q", len(list), list[len(list)-1].data)
 	}
--- a/internal/node/owed_test.go
+++ b/internal/node/owed_test.go
@@ -186,3 +186,45 @@
 		got[x.msg.Session()] = true
 	}
 }
+
+// A client's end of a session is taken by a connection whose server reads nothing, and reset later: the server gets it over another
+// one, unless it has answered or was heard since. It counted as arrived after a quarter of a second.
+func TestTeardownUnheardBeforeAReset(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		heard func(*peer)
+		again bool
+	}{
+		{"silent", func(*peer) {}, true},
+		{"answered", func(server *peer) {
+			server.confirmRelease(testID(1))
+		}, false},
+		{"heard later", func(server *peer) {
+			time.Sleep(300 * time.Millisecond)
+			server.sendf("OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n")
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h, s1 := newSingleServerHarness(t, 256)
+			cl := h.connect()
+			server := h.established(s1, cl, testID(1))
+			cl.tearDown(testID(1), 0)
+			h.expectAt(rtsp.TearDown, s1)
+			c.heard(server)
+			time.Sleep(600 * time.Millisecond)
+			server.reset()
+			if c.again {
+				if x, _ := h.expectAt(rtsp.TearDown, s1); x.msg.Session() != testID(1) || x.conn == server {
+					t.Errorf("released %s, on the same connection: %v", x.msg.Session(), x.conn == server)
+				}
+				return
+			}
+			time.Sleep(300 * time.Millisecond)
+			h.inspect(func(n *Node) {
+				if conns := len(n.servers[0].conns); conns > 0 {
+					t.Errorf("%d connections were opened", conns)
+				}
+			})
+		})
+	}
+}
--- a/internal/node/release.go
+++ b/internal/node/release.go
@@ -41,7 +41,7 @@
 func (n *Node) releaseToClient(own []*client, id string, data []byte) {
 	sent := false
 	for _, cl := range own {
-		if cl.sendRetained(n.now, sessionMessage{id: id, data: data}) {
+		if cl.sendRetained(n.now, sessionMessage{id: id, data: data, ends: true}) {
 			n.logRelease("release sent on the session's own connection", id, cl)
 			sent = true
 		}
@@ -97,7 +97,7 @@
 	}
 	relation := best.relation()
 	if relation.Confirmed() {
-		settled = best.sendRetained(n.now, sessionMessage{id: r.id, data: r.data})
+		settled = best.sendRetained(n.now, sessionMessage{id: r.id, data: r.data, ends: true})
 	}
 	if !settled {
 		if from, _ := best.send(r.data); from < 0 {
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -45,6 +45,11 @@
 	}
 }
 
+// confirmRelease answers the release of a session.
+func (p *peer) confirmRelease(id string) {
+	p.sendf("RTSP/1.0 200 OK\r\nCSeq: 2\r\nSession: %s\r\nContent-Length: 0\r\n\r\n", id)
+}
+
 // expectNothing expects that no message arrives within a while.
 func (p *peer) expectNothing() {
 	p.t.Helper()
@@ -169,7 +174,8 @@
 	server.tearDown(testID(1), causeFinished)
 	cl.expectRelease(testID(1))
 	second.expectRelease(testID(1))
-	time.Sleep(300 * time.Millisecond) // what was sent just before a close is sent again
+	cl.confirmRelease(testID(1)) // else it is sent again after the reset
+	cl.ping()
 	cl.reset()
 	h.waitFor("the session belongs to the second connection", func(n *Node) bool {
 		return len(n.clients) == 1 && n.clients[0].Established == 1 && n.sessions[testID(2)].client == n.clients[0]
@@ -197,6 +203,37 @@
 	third.expectRelease(testID(1))
 }
 
+// A release is taken by a connection that its client does not read any more, and that is reset later: it arrives on another one,
+// unless the client has answered it or was heard since. It counted as arrived after a quarter of a second.
+func TestReleaseUnheardBeforeAReset(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		heard func(*peer)
+		again bool
+	}{
+		{"silent", func(*peer) {}, true},
+		{"answered", func(cl *peer) { cl.confirmRelease(testID(1)) }, false},
+		{"heard later", func(cl *peer) { time.Sleep(300 * time.Millisecond); cl.ping() }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h, s1 := newSingleServerHarness(t, 256)
+			cl, other := h.connect(), h.connect()
+			server := h.established(s1, cl, testID(1))
+			other.ping()
+			server.tearDown(testID(1), causeFinished)
+			cl.expectRelease(testID(1))
+			c.heard(cl)
+			time.Sleep(600 * time.Millisecond)
+			cl.reset()
+			if c.again {
+				other.expectRelease(testID(1))
+				return
+			}
+			other.expectNothing()
+		})
+	}
+}
+
 // A client names a session that has ended, as its release was lost with the old connection: it is released again, and not taken
 // over as a session that nobody will ever end.
 func TestEndedSessionIsNamed(t *testing.T) {
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -41,7 +41,6 @@
 	closed       bool
 	closedAt     float64 // when it ended, or this node began to close it
 	lastUsed     float64
-	lastHeard    float64    // when its server last sent a message on it, or when it was opened
 	setups       []*session // in flight on it, or waiting for it to open; removed by their outcomes
 	probePending bool       // a probe waits for it to open
 	cancelDial   context.CancelFunc
@@ -111,7 +110,9 @@
 			o = choice.ServerError
 		}
 		n.endProbe(sv, o, parseLoadReport(m))
-	case m.Header.Get("Cseq") == cseqTearDown || m.Header.Get("Cseq") == cseqOptions:
+	case m.Header.Get("Cseq") == cseqTearDown:
+		sc.acknowledge(id)
+	case m.Header.Get("Cseq") == cseqOptions:
 	case s != nil && s.state == attempting && s.conn == sc:
 		n.handleSetupAnswer(s, m, readAt)
 	case s == nil:
@@ -192,7 +193,7 @@
 
 // tearDownAtServer ends a session at its server, or cancels a SETUP there that may have established it.
 func (n *Node) tearDownAtServer(sv *server, url, id string) {
-	n.sendToServer(sv, sessionMessage{id: id, data: teardownMessage(url, id, causeMoved)})
+	n.sendToServer(sv, sessionMessage{id: id, data: teardownMessage(url, id, causeMoved), ends: true})
 }
 
 // sendRung notifies a session's server of the session's rung.
--- a/internal/node/serverconn.go
+++ b/internal/node/serverconn.go
@@ -220,11 +220,11 @@
 // whose bytes was written never ran and is sent again.
 func (n *Node) serverConnClosed(sc *serverConn, written int64, err error) {
 	if sc.closed { // by this node
-		endedAt := sc.closedAt
-		if errors.Is(err, io.EOF) { // its peer has read what was written
+		endedAt, orderly := sc.closedAt, errors.Is(err, io.EOF)
+		if orderly { // its peer has read what was written
 			endedAt = math.Inf(1)
 		}
-		n.resendUndelivered(sc, endedAt, written)
+		n.resendUndelivered(sc, endedAt, written, orderly)
 		return
 	}
 	n.removeServerConn(sc)
@@ -245,14 +245,14 @@
 		}
 		n.dispatchSetup(s)
 	}
-	n.resendUndelivered(sc, n.now, written)
+	n.resendUndelivered(sc, n.now, written, errors.Is(err, io.EOF))
 	n.removeServerIfGone(sc.server)
 }
 
 // resendUndelivered sends the messages about sessions that may not have arrived on a connection over another one. The connection
-// ended, or began to be closed, at endedAt.
-func (n *Node) resendUndelivered(sc *serverConn, endedAt float64, written int64) {
-	for _, m := range sc.undelivered(endedAt, written) {
+// ended, or began to be closed, at endedAt; orderly says that the server closed its side.
+func (n *Node) resendUndelivered(sc *serverConn, endedAt float64, written int64, orderly bool) {
+	for _, m := range sc.undelivered(endedAt, written, orderly) {
 		n.resendToServer(sc.server, m)
 	}
 }
