soak: what a server could not send, and what its node had ended, is judged by when the node could know

Change: the 1 s holds for releases that were written; a seat is free once the node had the client's end, or its TEARDOWN left. Four cases in TestCheck say so, and that three sessions beside two seats are still found.

--- a/internal/lab/soak/judge.go
+++ b/internal/lab/soak/judge.go
@@ -109,6 +109,7 @@
 type attempt struct {
 	read     record
 	endedAt  time.Duration // when it was answered or cancelled; never if it was neither
+	tornDown time.Duration // when its node sent the first TEARDOWN; never if none
 	notRun   bool          // its server answered that nothing ran
 	answered bool          // its server answered it with success
 }
@@ -207,7 +208,7 @@
 		c.report.Answers++
 	case attemptRead:
 		c.report.Attempts++
-		a := &attempt{read: r, endedAt: never}
+		a := &attempt{read: r, endedAt: never, tornDown: never}
 		if at, known := h.endedAt[r.server]; known && r.at-at < socketSlack { // its end arrived over another connection and was read first
 			a.endedAt = r.at
 		}
@@ -219,7 +220,8 @@
 		}
 	case attemptCancelled:
 		if a := h.lastAttempt(r.server); a != nil {
-			a.endedAt = min(a.endedAt, max(r.at-r.transitDelay, a.read.at))
+			a.tornDown = min(a.tornDown, max(r.at-r.transitDelay, a.read.at))
+			a.endedAt = min(a.endedAt, a.tornDown)
 		}
 		h.recordEnd(r.server, r.at-r.transitDelay)
 	case sessionEnded:
--- a/internal/lab/soak/judgeend.go
+++ b/internal/lab/soak/judgeend.go
@@ -103,8 +103,9 @@
 		}
 	}
 	if at, known := conns.endedAt[h.sent.peer]; known && at < end+timeout {
+		reachedNode := timeout == releaseTimeout
 		timeout = lateReleaseTimeout
-		if at < end && conns.replacementOpen(h.sent.node, end, end+releaseTimeout+socketSlack+loadSlack) {
+		if reachedNode && at < end && conns.replacementOpen(h.sent.node, end, end+releaseTimeout+socketSlack+loadSlack) {
 			timeout = releaseTimeout
 		}
 	}
--- a/internal/lab/soak/judgefleet.go
+++ b/internal/lab/soak/judgefleet.go
@@ -71,6 +71,10 @@
 				if end = h.endedAt[a.read.server]; end == 0 {
 					end = a.endedAt // the session's end is unknown, so it counts only until its answer
 				}
+				end = min(end, a.tornDown)
+			}
+			if at := h.endedByClient.at; at > 0 { // the node no longer holds it, though its server may be unreachable
+				end = min(end, at)
 			}
 			end = min(end, c.nextExit(h.sent.node, a.read.at)) // the next process does not inherit it
 			key := titleAtNode{h.sent.node, h.sent.title}
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -177,6 +179,23 @@
 	}
 }
 
+// seatedID is the id of the k-th session of seated.
+func seatedID(k int) string { return requestID(3, uint64(100+k)) }
+
+// seated returns the records of sessions of one title in the class with seats, which start 0.5 s after each other and end together.
+func seated(count int) (list []record) {
+	const ms = time.Millisecond
+	for k := range count {
+		at, id, server := time.Duration(1000+500*k)*ms, seatedID(k), fmt.Sprintf("s-%d", k)
+		list = append(list, record{at: at, kind: requestSent, request: id, node: 3, class: 2, wait: 1200 * ms, title: "t"},
+			record{at: at + 10*ms, kind: attemptRead, request: id, server: server, node: 3, wait: 300 * ms},
+			record{at: at + 20*ms, kind: attemptAnswered, request: id, server: server, node: 3, status: 200},
+			record{at: at + 30*ms, kind: answerRead, request: id, node: 3, status: 200, detail: description(id, server)},
+			record{at: 5 * time.Second, kind: sessionEnded, request: id, server: server, status: causeMoved})
+	}
+	return list
+}
+
 // The checker alone, on hand-written records: valid requests pass, and each kind of violation is found.
 func TestCheck(t *testing.T) {
 	const id = "0003000000000007"
@@ -223,12 +242,17 @@
 		{"named after a restart, release not reported", append(append([]record{}, clean...), record{at: 1500 * ms, kind: nodeExited, node: 3}, record{at: 2 * time.Second, kind: sessionNamed, request: id, server: "s-2", node: 3}, record{at: 3 * time.Second, kind: sessionEnded, request: id, server: "s-2", status: 16}, record{at: 3 * time.Second, kind: releaseWritten, request: id, server: "s-2", node: 3}), Released},
 		{"ended by its client, not torn down", append(append([]record{}, clean...), record{at: 2 * time.Second, kind: sessionEndedByClient, request: id, node: 3}), Cut},
 		{"ended by its client, torn down", append(append([]record{}, clean...), record{at: 2 * time.Second, kind: sessionEndedByClient, request: id, node: 3}, record{at: 2100 * ms, kind: attemptCancelled, request: id, server: "s-2", node: 3}), ""},
+		{"replaced, the server had no connection", append(append([]record{}, replaced[:len(replaced)-1]...), record{at: 4 * time.Second, kind: releaseRead, request: id, node: 3}), ""},
+		{"a session too many", seated(3), Terms},
+		{"a session too many, one ended by its client", append(seated(3), record{at: 1200 * ms, kind: sessionEndedByClient, request: seatedID(0), node: 3}), ""},
+		{"a session too many, one torn down at an unreachable server", append(seated(3), record{at: 1900 * ms, kind: attemptCancelled, request: seatedID(0), server: "s-0", node: 3, transitDelay: 700 * ms}), ""},
 		{"too many descriptors", []record{{at: time.Second, kind: nodeMeasured, node: 3, descriptors: maxDescriptors + 1}}, Limits},
 		{"too much memory", []record{{at: time.Second, kind: nodeMeasured, node: 3, megabytes: maxMemoryMB + 1}}, Limits},
 		{"fault in the log", []record{{at: time.Second, kind: nodeLoggedFault, node: 3, detail: "panic: x"}}, Guarded},
 		{"read and closed at once", []record{sent, {at: 1020 * ms, kind: requestAborted, request: id, node: 3, detail: detailRead}}, Answered},
 		{"attempt after a drain", []record{sent, {at: 100 * ms, kind: entryPublished, server: "s-1", detail: "draining", wait: 100 * ms}, attempt(1010*ms, "s-1"), read(1100*ms, 500, "")}, Drained},
 	} {
+		slices.SortStableFunc(c.list, func(a, b record) int { return cmp.Compare(a.at, b.at) })
 		r := check(c.list, DefaultOptions())
 		found := c.want == ""
 		for _, v := range r.Violations {
