soak: a reply that waits for the end of a partition delays what is read after it

Cause: the stand-in server's reader waits in send while the server is unreachable; what it read next counted as read in time, not as delayed. Change: answers of the reader wait by the connection's own account (reply). Measured: TestReplyInAPartitionDelaysWhatFollows fails without the wait ('delayed by 0s') and passes with it.

--- a/internal/lab/soak/server.go
+++ b/internal/lab/soak/server.go
@@ -165,6 +165,12 @@
 	return err == nil
 }
 
+// reply sends an answer from the reader. What it waits for the server to be reachable delays the messages behind it as well.
+func (c *serverConn) reply(b []byte) bool {
+	c.awaitReachable()
+	return c.send(b)
+}
+
 // awaitReachable waits until the server is reachable and returns how long the message just read was delayed. Messages queued
 // behind a delayed one count as delayed as long.
 func (c *serverConn) awaitReachable() time.Duration {
@@ -220,14 +226,14 @@
 		case rtsp.TearDown:
 			c.handleTeardown(m, delay)
 			if hungFor <= 0 {
-				c.send(formatAnswer(m.Session(), 2, rtsp.OK, ""))
+				c.reply(formatAnswer(m.Session(), 2, rtsp.OK, ""))
 			}
 		case rtsp.SetParameter:
 			rung, _ := strconv.Atoi(m.Header.Get("X-Quality"))
 			s.log.add(record{kind: rungRead, request: m.Session(), server: s.id, rung: rung, node: -1})
 		case rtsp.Options:
 			if hungFor <= 0 {
-				c.send([]byte("RTSP/1.0 200 OK\r\nCSeq: 3\r\nSession: " + m.Session() + "\r\nX-State: cpu:0.25;x1:0.5\r\nContent-Length: 0\r\n\r\n"))
+				c.reply([]byte("RTSP/1.0 200 OK\r\nCSeq: 3\r\nSession: " + m.Session() + "\r\nX-State: cpu:0.25;x1:0.5\r\nContent-Length: 0\r\n\r\n"))
 			}
 		}
 	}
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -5,6 +5,9 @@
 	"cmp"
 	"context"
 	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -281,3 +284,22 @@
 		t.Errorf("the configuration is %q, %v", text, err)
 	}
 }
+
+// A reader that waits with an answer for the end of a partition counts the wait as the delay of the messages behind it: they were
+// judged by when they were read.
+func TestReplyInAPartitionDelaysWhatFollows(t *testing.T) {
+	const partition = 50 * time.Millisecond
+	a, b := net.Pipe()
+	defer a.Close()
+	go io.Copy(io.Discard, b)
+	s := &server{log: &log{startedAt: time.Now()}, rand: rand.New(rand.NewPCG(1, 1))}
+	time.Sleep(2 * backlogWindow) // the soak has run for a while
+	s.addEffect(partition, makeUnreachable)
+	c := &serverConn{Conn: a, server: s, node: -1}
+	if !c.reply([]byte("x")) {
+		t.Fatal("not sent")
+	}
+	if delay := c.awaitReachable(); delay < partition/2 {
+		t.Errorf("the next message counts as delayed by %v", delay)
+	}
+}
