node: a release that no confirmed connection can carry goes to all that may be the client's

Callers saw: beside a monitor's connection that tests, a client's replacement that had said nothing heard of its sessions' ends only when it spoke or the monitor left. Cause: one connection was chosen, and one that tests comes before a silent one. TestReleaseOnAllUnconfirmedConnections is new; it fails where one connection is chosen, as TestReleaseIsRepeatedOnABetterConnection showed before. Change: carrier.Choose gives the one confirmed connection heard last, or up to eight others; those that open within 8 s get a copy too, sixteen in all. What waits is sent as a connection opens, not at the next tick; TestReleasedOnAnotherConnection, which took the release for the second message, takes it for the first and asks for no less.

--- a/choice/carrier/carrier.go
+++ b/choice/carrier/carrier.go
@@ -2,6 +2,11 @@
 // its release, the cut of its playback or a change of its rung may travel over any connection to the peer. It does no I/O.
 package carrier
 
+import (
+	"cmp"
+	"slices"
+)
+
 // Relation states what a connection has shown about its peer's sessions, weakest first.
 type Relation int
 
@@ -25,8 +30,8 @@
 	return Silent
 }
 
-// Confirmed reports whether the peer of a connection certainly handles sessions. A message sent on any other connection is sent
-// again once a better one is open: a mere monitor may have discarded it.
+// Confirmed reports whether the peer of a connection certainly handles sessions. Another one may be a mere monitor's, which discards
+// messages about sessions.
 func (r Relation) Confirmed() bool { return r == Serving }
 
 // Conn is an open connection that may carry a message.
@@ -35,31 +40,28 @@
 	LastHeard float64 // when its peer last sent a message, or when it was opened; in seconds
 }
 
-// None means that no connection is open.
-const None = -1
+// Limits of the copies of a message that only unconfirmed connections can carry: any of them may be the one whose peer handles
+// sessions.
+const (
+	// MaxUnconfirmed is the number of such connections that carry a message at a time.
+	MaxUnconfirmed = 8
+	// MaxCopies is the number of copies in all, with those for connections that opened later.
+	MaxCopies = 16
+)
 
-// Pick returns the index of the connection that carries a message: of those with the strongest relation the one whose peer was
-// heard last, as a peer that is gone may leave its connection open; of equals the last. None if the list is empty.
-func Pick(list []Conn) int {
-	best := None
-	for i, c := range list {
-		if best == None || c.Relation > list[best].Relation || c.Relation == list[best].Relation && c.LastHeard >= list[best].LastHeard {
-			best = i
-		}
+// Choose returns the indices of the connections that carry a message, the best first: those with the strongest relation, of these
+// the ones whose peers were heard last, as a peer that is gone may leave its connection open. It is one connection if the best is
+// confirmed, else up to MaxUnconfirmed; none if the list is empty.
+func Choose(list []Conn) []int {
+	best := make([]int, len(list))
+	for i := range list {
+		best[i] = i
 	}
-	return best
-}
-
-// Sent is how a message was last sent. The zero value is a message that was not sent.
-type Sent struct {
-	OnConn   bool // it was sent
-	Open     bool // the connection that carried it is still open
-	Relation Relation
+	slices.SortStableFunc(best, func(i, j int) int {
+		return cmp.Or(cmp.Compare(list[j].Relation, list[i].Relation), cmp.Compare(list[j].LastHeard, list[i].LastHeard))
+	})
+	if len(best) > 0 && list[best[0]].Relation.Confirmed() {
+		return best[:1]
+	}
+	return best[:min(len(best), MaxUnconfirmed)]
 }
-
-// Settled reports whether a message needs no further copy: the connection that carried it is open and its peer handles sessions.
-func (s Sent) Settled() bool { return s.OnConn && s.Open && s.Relation.Confirmed() }
-
-// Repeat reports whether a message is to be sent on the best connection open now, given its relation: if it was not sent yet, if
-// the connection that carried it has closed, or if this one is better.
-func (s Sent) Repeat(best Relation) bool { return !s.OnConn || !s.Open || best > s.Relation }
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -106,6 +106,7 @@
 	n.counts["viewers"]++
 	n.clients = append(n.clients, cl)
 	n.enforceClientLimit()
+	n.sendPendingReleases()
 }
 
 // enforceClientLimit closes connections of clients past their share of the descriptors, by eviction rank.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -297,7 +297,7 @@
 
 // owesMessages reports whether a message about a session that has ended still waits for a connection.
 func (n *Node) owesMessages() bool {
-	return slices.ContainsFunc(n.pendingReleases, func(r *pendingRelease) bool { return r.sentOn == nil }) ||
+	return slices.ContainsFunc(n.pendingReleases, func(r *pendingRelease) bool { return r.copies == 0 }) ||
 		slices.ContainsFunc(n.servers, func(sv *server) bool { return len(sv.pendingMessages) > 0 })
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -395,7 +395,8 @@
 	}
 }
 
-// A release whose client's connection has closed is sent on another connection that has served a session.
+// A release whose client's connection has closed is sent on another connection: as soon as that is open, and once more when it has
+// served a session.
 func TestReleasedOnAnotherConnection(t *testing.T) {
 	h, s1 := newSingleServerHarness(t, 256)
 	cl := h.connect()
@@ -406,11 +407,12 @@
 	x.conn.tearDown(testID(1), 16)
 	h.waitFor("the release is pending", func(n *Node) bool { return len(n.pendingReleases) == 1 })
 	other := h.connect()
-	other.setup(testID(2), "free", "")
-	h.serveNext(s1, other)
 	if r := other.expect(rtsp.TearDown); r.Session() != testID(1) {
 		t.Errorf("released %s", r.Session())
 	}
+	other.setup(testID(2), "free", "")
+	h.serveNext(s1, other)
+	h.waitFor("nothing is pending", func(n *Node) bool { return len(n.pendingReleases) == 0 })
 }
 
 func TestCoordinator(t *testing.T) {
--- a/internal/node/release.go
+++ b/internal/node/release.go
@@ -12,21 +12,21 @@
 const maxPendingReleases = 8192
 
 // pendingRelease is the release of an ended session that may not have reached the session's client: no connection was open, or
-// only one whose peer may not handle sessions.
+// only such whose peers may not handle sessions.
 type pendingRelease struct {
-	id        string // of the session
-	data      []byte
-	expiresAt float64
-	sentOn    *client          // nil if it was not sent
-	relation  carrier.Relation // of sentOn, when it was sent there
+	id      string // of the session
+	data    []byte
+	endedAt float64
+	copies  int       // how often it was sent
+	sentOn  []*client // the open connections on which it was sent; at most carrier.MaxCopies
 }
 
-// sent describes for package carrier how a release was sent.
-func (r *pendingRelease) sent() carrier.Sent {
-	if r.sentOn == nil {
-		return carrier.Sent{}
-	}
-	return carrier.Sent{OnConn: true, Open: r.sentOn.isOpen(), Relation: r.relation}
+// expired reports whether a release is dropped.
+func (r *pendingRelease) expired(now float64) bool { return now-r.endedAt >= pendingSeconds }
+
+// settled reports whether a release needs no further copy: it was sent on an open connection whose peer handles sessions.
+func (r *pendingRelease) settled() bool {
+	return slices.ContainsFunc(r.sentOn, func(cl *client) bool { return cl.relation().Confirmed() })
 }
 
 // isOpen reports whether messages can be sent on a client's connection.
@@ -51,11 +51,11 @@
 	}
 }
 
-// releaseOnAnyConn sends a release on the best open connection. It is kept, and sent again on a better one, until it was sent to
-// a client that handles sessions, or pendingSeconds have passed.
+// releaseOnAnyConn sends a release on the best open connections. It is kept, and sent on better ones and on those that open later, until
+// it was sent to a client that handles sessions, or has expired.
 func (n *Node) releaseOnAnyConn(id string, data []byte) {
-	r := &pendingRelease{id: id, data: data, expiresAt: n.now + pendingSeconds}
-	if n.sendPendingRelease(r, n.releaseCarrier()) {
+	r := &pendingRelease{id: id, data: data, endedAt: n.now}
+	if n.sendPendingRelease(r, n.releaseCarriers()) {
 		return
 	}
 	if len(n.pendingReleases) >= maxPendingReleases {
@@ -66,9 +66,8 @@
 	n.pendingReleases = append(n.pendingReleases, r)
 }
 
-// releaseCarrier returns the open connection that best carries a release of a session without a connection of its own; nil if no
-// connection is open.
-func (n *Node) releaseCarrier() *client {
+// releaseCarriers returns the open connections that best carry the release of a session without a connection of its own.
+func (n *Node) releaseCarriers() (carriers []*client) {
 	var open []*client
 	var candidates []carrier.Conn
 	for _, cl := range n.clients {
@@ -77,37 +76,43 @@
 			candidates = append(candidates, carrier.Conn{Relation: cl.relation(), LastHeard: cl.lastHeard})
 		}
 	}
-	if i := carrier.Pick(candidates); i != carrier.None {
-		return open[i]
+	for _, i := range carrier.Choose(candidates) {
+		carriers = append(carriers, open[i])
 	}
-	return nil
+	return carriers
 }
 
-// sendPendingRelease sends a release on a connection, which may be nil, unless it was sent on as good a one. It reports whether
-// the release needs no further copy. The connection retains it then, in case it ends before the release must have arrived.
-func (n *Node) sendPendingRelease(r *pendingRelease, best *client) (settled bool) {
-	if r.sentOn != nil {
-		r.relation = r.sentOn.relation()
-	}
-	if r.sent().Settled() {
+// sendPendingRelease sends a release on those of the carriers on which it was not sent yet. It reports whether the release needs no
+// further copy: a confirmed connection has it, and retains it in case it ends before the release must have arrived.
+func (n *Node) sendPendingRelease(r *pendingRelease, carriers []*client) (settled bool) {
+	r.sentOn = slices.DeleteFunc(r.sentOn, func(cl *client) bool { return !cl.isOpen() })
+	if r.settled() {
 		return true
 	}
-	if best == nil || !r.sent().Repeat(best.relation()) || !best.hasRoom() {
-		return false
-	}
-	relation := best.relation()
-	if relation.Confirmed() {
-		settled = best.sendRetained(n.now, sessionMessage{id: r.id, data: r.data, ends: true})
-	}
-	if !settled {
-		if from, _ := best.send(r.data); from < 0 {
-			return false
+	for _, cl := range carriers {
+		if cl.relation().Confirmed() {
+			if cl.sendRetained(n.now, sessionMessage{id: r.id, data: r.data, ends: true}) {
+				n.logReleaseCopy(r, cl)
+				return true
+			}
+			continue
+		}
+		if r.copies >= carrier.MaxCopies || slices.Contains(r.sentOn, cl) || !cl.hasRoom() {
+			continue
+		}
+		if from, _ := cl.send(r.data); from >= 0 {
+			r.copies++
+			r.sentOn = append(r.sentOn, cl)
+			n.logReleaseCopy(r, cl)
 		}
 	}
-	n.logRelease("release sent on another connection", r.id, best)
+	return false
+}
+
+// logReleaseCopy logs and counts a release that was sent on another connection than its session's own.
+func (n *Node) logReleaseCopy(r *pendingRelease, cl *client) {
+	n.logRelease("release sent on another connection", r.id, cl)
 	n.counts["releases over another connection"]++
-	r.sentOn, r.relation = best, relation
-	return settled
 }
 
 // sendPendingReleases sends the pending releases for which a better connection has opened, and drops those that have expired.
@@ -115,15 +120,15 @@
 	if len(n.pendingReleases) == 0 {
 		return
 	}
-	best := n.releaseCarrier()
+	carriers := n.releaseCarriers()
 	n.pendingReleases = slices.DeleteFunc(n.pendingReleases, func(r *pendingRelease) bool {
-		if n.now >= r.expiresAt {
-			if r.sentOn == nil {
+		if r.expired(n.now) {
+			if r.copies == 0 {
 				n.dropRelease(r, "no connection in time")
 			}
 			return true
 		}
-		return n.sendPendingRelease(r, best)
+		return n.sendPendingRelease(r, carriers)
 	})
 }
 
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -130,12 +130,12 @@
 	server.tearDown(testID(1), causeFinished)
 	h.waitFor("the release is pending", func(n *Node) bool { return len(n.pendingReleases) == 1 })
 	next := h.connect()
-	next.ping()
 	next.expectRelease(testID(1))
+	next.ping()
 }
 
-// A connection that only probes may belong to a monitor: what was released on it is released again on a connection that names or
-// is served a session, or on another one that probes if it closes. A connection that is served settles it.
+// A connection that only probes may belong to a monitor: what was released on it is released again on those that open later, until
+// one of them is served a session.
 func TestReleaseIsRepeatedOnABetterConnection(t *testing.T) {
 	h, s1 := newSingleServerHarness(t, 256)
 	cl := h.connect()
@@ -149,14 +149,31 @@
 	monitor.reset()
 	h.waitFor("the monitor's connection is closed", func(n *Node) bool { return len(n.clients) == 0 })
 	second := h.connect()
-	second.ping()
 	second.expectRelease(testID(1))
+	second.ping()
 	client := h.connect()
-	h.established(s1, client, testID(2))
 	client.expectRelease(testID(1))
+	h.established(s1, client, testID(2))
 	h.waitFor("nothing is pending", func(n *Node) bool { return len(n.pendingReleases) == 0 })
 	second.expectNothing()
 	client.expectNothing()
+	h.connect().expectNothing()
+}
+
+// Several connections are open that have served no session: each of them may be the client's, so all get the release, once.
+func TestReleaseOnAllUnconfirmedConnections(t *testing.T) {
+	h, s1 := newSingleServerHarness(t, 256)
+	cl := h.connect()
+	server := h.established(s1, cl, testID(1))
+	monitor, silent := h.connect(), h.connect()
+	monitor.ping()
+	cl.reset()
+	h.waitFor("the connection is closed", func(n *Node) bool { return len(n.clients) == 2 })
+	server.tearDown(testID(1), causeFinished)
+	for _, p := range []*peer{monitor, silent} {
+		p.expectRelease(testID(1))
+		p.expectNothing()
+	}
 }
 
 // A session is named on a second connection while its own is open: both get the release, as either may be the one that is no
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -153,12 +153,13 @@
 			candidates = append(candidates, carrier.Conn{Relation: carrier.Serving, LastHeard: sc.lastHeard})
 		}
 	}
-	i := carrier.Pick(candidates)
-	if i == carrier.None || !open[i].sendRetained(n.now, m) {
-		return false
+	for _, i := range carrier.Choose(candidates) {
+		if open[i].sendRetained(n.now, m) {
+			open[i].lastUsed = n.now
+			return true
+		}
 	}
-	open[i].lastUsed = n.now
-	return true
+	return false
 }
 
 // sendToServer sends a message like trySendToServer. If that fails, the message waits. If no connection is open, one is dialled, unless
