node: a release that is late is sent all the same, and the latest ends are remembered

Callers saw: viewers that had no connection for 8 s were never told of the ends of that time; after 10 s, or with 2,048 ends in 10 s, naming such a session took it over as one that stands, for good. Cause: pendingReleases dropped after 8 s what had never been sent; the table of ended sessions refused new entries when full and forgot after 10 s. Evidence: TestLateReleaseIsSent failed before (the pending release was gone at the next tick: index out of range) and passes now; TestLatestEndsAreRemembered is the new table's. Change: what was never sent waits 60 s; ended.go keeps the latest 2,048 ends for 60 s in order, without a timer each. Measured: go test ./internal/node passes.

--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -13,7 +13,7 @@
 		n.sessionNamed(known, cl)
 		return
 	}
-	if ended := n.endedSessions[setup.id]; ended != nil {
+	if ended := n.endedSessions.find(n.now, setup.id); ended != nil {
 		n.endedSessionNamed(ended, setup, cl)
 		return
 	}
@@ -31,41 +31,6 @@
 	n.notifyModule(wire.Event{Kind: wire.Handover, Request: s.request, Server: s.server.number})
 }
 
-// endedSession is a session that has ended. It is remembered for rememberSeconds, as its client may still name it as established:
-// its release was lost with a connection, or is on its way.
-type endedSession struct {
-	cause    int  // of the release that its client gets if it names the session
-	byClient bool // its client ended it before this node knew it, so its server has not been notified
-}
-
-// rememberEnd remembers the end of a session with the cause that its server or this node gave.
-func (n *Node) rememberEnd(id string, cause int) {
-	if cause != causeFinished {
-		cause = causeLost
-	}
-	n.rememberEndedSession(id, &endedSession{cause: cause})
-}
-
-// rememberEndByClient remembers that a client ended a session that this node does not know, or not yet: the message that names it
-// may still be on its way on another connection.
-func (n *Node) rememberEndByClient(id string) {
-	if n.endedSessions[id] == nil {
-		n.rememberEndedSession(id, &endedSession{cause: causeMoved, byClient: true})
-	}
-}
-
-func (n *Node) rememberEndedSession(id string, ended *endedSession) {
-	if n.endedSessions[id] == nil && len(n.endedSessions) >= maxRemembered {
-		return
-	}
-	n.endedSessions[id] = ended
-	n.after(rememberSeconds, func() {
-		if n.endedSessions[id] == ended {
-			delete(n.endedSessions, id)
-		}
-	})
-}
-
 // endedSessionNamed handles a client that names a session which has ended: it is released to its client, or to its server if its
 // client ended it.
 func (n *Node) endedSessionNamed(ended *endedSession, setup clientSetup, cl *client) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -88,8 +88,8 @@
 	serversByNumber map[choice.ServerID]*server // removed with servers
 	serversByID     map[string]*server          // removed with servers
 	abandonedSetups map[string]*server          // SETUPs ended unanswered, by session id; removed after rememberSeconds
-	endedSessions   map[string]*endedSession    // at most maxRemembered; removed after rememberSeconds
-	pendingReleases []*pendingRelease           // at most maxPendingReleases; dropped when they expire
+	endedSessions   endedSessions
+	pendingReleases []*pendingRelease // at most maxPendingReleases; dropped when they expire
 	clients         []*client
 	clientSlots     *connSlots    // bounds the client connections
 	acceptDone      chan struct{} // closed when the accept loop ends
@@ -112,11 +112,12 @@
 }
 
 const (
-	// rememberSeconds is how long unanswered SETUPs, whose answer may still arrive, and ended sessions are remembered.
+	// rememberSeconds is how long unanswered SETUPs are remembered, whose answer may still arrive.
 	rememberSeconds = 10.0
 	// maxRemembered bounds each of these tables and each list of pending messages; what exceeds it is dropped.
 	maxRemembered = 2048
-	// pendingSeconds is how long a message waits for a connection: a release is due within 8 s.
+	// pendingSeconds is how long a message to a server waits for a connection, and a release for a better one than that on which
+	// it was sent.
 	pendingSeconds = 8.0
 	// maintenanceInterval is how often servers are checked and idle client connections closed, in seconds.
 	maintenanceInterval = 0.1
@@ -168,7 +169,7 @@
 		serversByNumber: map[choice.ServerID]*server{},
 		serversByID:     map[string]*server{},
 		abandonedSetups: map[string]*server{},
-		endedSessions:   map[string]*endedSession{},
+		endedSessions:   newEndedSessions(),
 		clientSlots:     newConnSlots(share.MaxViewerConns(o.Config.MaxDescriptors, 0)),
 		counts:          map[string]int{},
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -388,7 +388,7 @@
 	h.waitFor("the sessions are within the limit", func(n *Node) bool { return len(n.sessions) == share.MaxHandedOver(0) })
 	h.inspect(func(n *Node) { n.config.MemoryMB = 64 })
 	p.tearDown(testID(4), 41) // released before it is handed over
-	h.waitFor("the release is remembered", func(n *Node) bool { return n.endedSessions[testID(4)] != nil })
+	h.waitFor("the release is remembered", func(n *Node) bool { return n.endedSessions.find(n.now, testID(4)) != nil })
 	cl.setup(testID(4), "paid", ";at:s-1")
 	if r := cl.expect(rtsp.TearDown); r.Session() != testID(4) {
 		t.Errorf("released %s", r.Session())
--- a/internal/node/release.go
+++ b/internal/node/release.go
@@ -21,8 +21,17 @@
 	sentOn  []*client // the open connections on which it was sent; at most carrier.MaxCopies
 }
 
+// unsentReleaseSeconds is how long a release waits if no connection is open. It is late after 8 s, but a client that is never
+// notified holds its session for good.
+const unsentReleaseSeconds = 60.0
+
 // expired reports whether a release is dropped.
-func (r *pendingRelease) expired(now float64) bool { return now-r.endedAt >= pendingSeconds }
+func (r *pendingRelease) expired(now float64) bool {
+	if r.copies == 0 {
+		return now-r.endedAt >= unsentReleaseSeconds
+	}
+	return now-r.endedAt >= pendingSeconds
+}
 
 // settled reports whether a release needs no further copy: it was sent on an open connection whose peer handles sessions.
 func (r *pendingRelease) settled() bool {
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -357,3 +357,36 @@
 		n.maintainedAt, n.timeouts = n.now, timeouts
 	})
 }
+
+// No client connection is open for longer than a release may take: it is late, and sent all the same. It was dropped, and the session
+// stood for its client for good.
+func TestLateReleaseIsSent(t *testing.T) {
+	h, s1 := newSingleServerHarness(t, 256)
+	cl := h.connect()
+	server := h.established(s1, cl, testID(1))
+	cl.reset()
+	h.waitFor("the connection is closed", func(n *Node) bool { return len(n.clients) == 0 })
+	server.tearDown(testID(1), causeFinished)
+	h.waitFor("the release is pending", func(n *Node) bool { return len(n.pendingReleases) == 1 })
+	h.inspect(func(n *Node) { n.pendingReleases[0].endedAt -= 2 * pendingSeconds })
+	h.waitFor("the list was maintained", func(n *Node) bool { return n.maintainedAt > n.pendingReleases[0].endedAt+2*pendingSeconds })
+	h.connect().expectRelease(testID(1))
+}
+
+// More sessions end than are remembered: the latest are.
+func TestLatestEndsAreRemembered(t *testing.T) {
+	e := newEndedSessions()
+	for k := range maxRemembered + 10 {
+		e.add(1, testID(k), endedSession{cause: causeFinished})
+	}
+	if e.find(1, testID(9)) != nil || e.find(1, testID(10)) == nil || e.find(1, testID(maxRemembered+9)) == nil || len(e.byID) != maxRemembered || len(e.queue) != maxRemembered {
+		t.Errorf("%d sessions are remembered", len(e.byID))
+	}
+	if e.find(2+endedSessionSeconds, testID(100)) != nil {
+		t.Error("a session is remembered for too long")
+	}
+	e.add(2+endedSessionSeconds, testID(0), endedSession{cause: causeLost})
+	if len(e.byID) != 1 || len(e.queue) != 1 {
+		t.Errorf("%d sessions are kept", len(e.byID))
+	}
+}
