soak: an address that is used again and reads recorded out of order are told apart

Cause: (1) a client's address that a later connection got again hid when the session's own connection had ended, so a release beside useless connections was wanted within 1 s instead of 8 s; (2) two servers recorded attempts in the other order than they were sent, 0.3 ms apart. Change: ends are looked up from the time of the connection; attempts read within 5 ms, the second torn down by then, are taken in the order in which they can have been sent, and the rule on repeats is asked in that order.

--- a/internal/lab/soak/judge.go
+++ b/internal/lab/soak/judge.go
@@ -48,6 +48,8 @@
 	deadlineSlack = 150 * time.Millisecond
 	// The retry budget is multiplied by budgetFactor and raised by budgetMargin before a violation counts.
 	budgetFactor, budgetMargin = 1.15, 1.0
+	// readOrderSlack is how far two servers may be apart in recording what was sent to them one after the other.
+	readOrderSlack = 5 * time.Millisecond
 	// maxTraces is the number of violations reported with their traces.
 	maxTraces = 5
 )
@@ -362,7 +364,10 @@
 		if a.read.transitDelay+previous.read.transitDelay > 0 { // it is unknown which was sent first
 			continue
 		}
-		if a.read.at < previous.endedAt-socketSlack-loadSlack {
+		swapped := a.read.at-previous.read.at < readOrderSlack && a.tornDown < previous.read.at+readOrderSlack
+		if swapped { // a was sent first, and had been given up
+			previous, a = a, previous
+		} else if a.read.at < previous.endedAt-socketSlack-loadSlack {
 			c.violate(OneAttempt, id, a.read.at, "attempts at %s and %s in flight together", previous.read.server, a.read.server)
 		}
 		if classes[h.sent.class].sideEffect && !previous.notRun {
--- a/internal/lab/soak/judgeend.go
+++ b/internal/lab/soak/judgeend.go
@@ -14,18 +14,18 @@
 
 // connLog is what was recorded of clients' connections and of servers' deaths.
 type connLog struct {
-	endedAt      map[string]time.Duration // by client address
-	diedAt       map[string]time.Duration // by server
-	replacements map[int][]record         // connections that took the place of all others, by node
-	useless      map[int][]record         // periods with connections on which clients read nothing, by node
+	ends         map[string][]time.Duration // by client address, which later connections may use again; in order
+	diedAt       map[string]time.Duration   // by server
+	replacements map[int][]record           // connections that took the place of all others, by node
+	useless      map[int][]record           // periods with connections on which clients read nothing, by node
 }
 
 func newConnLog(records []record) *connLog {
-	l := &connLog{endedAt: map[string]time.Duration{}, diedAt: map[string]time.Duration{}, replacements: map[int][]record{}, useless: map[int][]record{}}
+	l := &connLog{ends: map[string][]time.Duration{}, diedAt: map[string]time.Duration{}, replacements: map[int][]record{}, useless: map[int][]record{}}
 	for _, r := range records {
 		switch r.kind {
 		case connectionEnded:
-			l.endedAt[r.detail] = r.at
+			l.ends[r.detail] = append(l.ends[r.detail], r.at)
 		case serverDied:
 			l.diedAt[r.server] = r.at
 		case replacementOpened:
@@ -37,6 +37,16 @@
 	return l
 }
 
+// endOf returns when the connection ended that a client address had at a given time; false if it did not end.
+func (l *connLog) endOf(peer string, at time.Duration) (time.Duration, bool) {
+	for _, end := range l.ends[peer] {
+		if end >= at {
+			return end, true
+		}
+	}
+	return 0, false
+}
+
 // replacementOpen reports whether a replacement of a node's connections was open throughout a period in which no useless
 // connection was, so that a release must have arrived on it.
 func (l *connLog) replacementOpen(node int, from, to time.Duration) bool {
@@ -46,7 +56,7 @@
 		}
 	}
 	for _, r := range l.replacements[node] {
-		if endedAt, ended := l.endedAt[r.peer]; r.at <= from && (!ended || endedAt > to) {
+		if endedAt, ended := l.endOf(r.peer, r.at); r.at <= from && (!ended || endedAt > to) {
 			return true
 		}
 	}
@@ -94,7 +104,7 @@
 	}
 	held := h.sent.at // when the node's process learned of the session
 	if at := h.named.at; at > 0 && c.nextExit(h.sent.node, h.sent.at) < at {
-		if endedAt, ended := conns.endedAt[h.named.peer]; ended && endedAt < at+releaseTimeout {
+		if endedAt, ended := conns.endOf(h.named.peer, at); ended && endedAt < at+releaseTimeout {
 			return 0, 0, false // the process may never have read the name
 		}
 		held = at
@@ -102,7 +112,7 @@
 			end, timeout = at+namedGrace, lateReleaseTimeout
 		}
 	}
-	if at, known := conns.endedAt[h.sent.peer]; known && at < end+timeout {
+	if at, known := conns.endOf(h.sent.peer, h.sent.at); known && at < end+timeout {
 		reachedNode := timeout == releaseTimeout
 		timeout = lateReleaseTimeout
 		if reachedNode && at < end && conns.replacementOpen(h.sent.node, end, end+releaseTimeout+socketSlack+loadSlack) {
@@ -122,7 +132,7 @@
 	at := h.endedByClient.at
 	limit := at + lateReleaseTimeout + socketSlack + loadSlack
 	limit += c.suspendedFor(h.sent.node, at, limit)
-	if endedAt, ended := conns.endedAt[h.endedByClient.peer]; ended && endedAt < at+releaseTimeout {
+	if endedAt, ended := conns.endOf(h.endedByClient.peer, at); ended && endedAt < at+releaseTimeout {
 		return // the node may not have read the client's message
 	}
 	if len(h.releasesReadAt) > 0 || limit > c.o.Duration || c.nextExit(h.sent.node, h.sent.at) < limit {
