node: the last messages of a failed connection count where they concern sessions that stand

Callers saw: a client ended a session and closed; if the node's writer met the close first, the TEARDOWN, though read, was ignored, and the session played on for nobody. Cause: handleClientMessage ignored whatever came from a connection that takes no more answers. Evidence: found by reading every use of isClosing; TestLastMessagesOfAFailedConnection failed before ('no TEARDOWN arrived') and passes now. Change: TEARDOWNs and SETUPs with 'at' of such connections are handled, requests are ignored as before.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -246,7 +246,7 @@
 func (n *Node) handleClientMessage(cl *client, m *rtsp.Message, readAt float64) {
 	n.traceReceived(cl.conn, m)
 	if cl.closed || cl.isClosing() {
-		n.log.Debug("ignored a message on a closed connection", str("from", cl.peer()), str("method", m.Method), str("sess", m.Session()))
+		n.handleLastClientMessage(cl, m)
 		return
 	}
 	cl.SentMessage, cl.LastUsed, cl.lastHeard = true, n.now, n.now
@@ -271,6 +271,22 @@
 	}
 }
 
+// handleLastClientMessage handles a message of a client whose connection takes no answers any more. What concerns a session that
+// stands may arrive on any connection; requests are ignored.
+func (n *Node) handleLastClientMessage(cl *client, m *rtsp.Message) {
+	switch m.Method {
+	case rtsp.TearDown:
+		n.handleTeardown(cl, m)
+		return
+	case rtsp.Setup:
+		if setup, err := n.parseSetup(m); err == nil && setup.currentServer != "" {
+			n.acceptHandover(cl, setup)
+			return
+		}
+	}
+	n.log.Debug("ignored a message on a closed connection", str("from", cl.peer()), str("method", m.Method), str("sess", m.Session()))
+}
+
 // rejectRequest refuses an invalid request, and closes connections that send many of them.
 func (n *Node) rejectRequest(cl *client, m *rtsp.Message, status int) {
 	n.malformedCount++
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -390,3 +390,23 @@
 		t.Errorf("%d sessions are kept", len(e.byID))
 	}
 }
+
+// A client's connection has failed under a write when its last messages, which had been read, are handled: what concerns a session
+// that stands counts all the same. It was ignored, and the session played on, or was not taken over.
+func TestLastMessagesOfAFailedConnection(t *testing.T) {
+	h, s1 := newSingleServerHarness(t, 256)
+	cl := h.connect()
+	h.established(s1, cl, testID(1))
+	h.inspect(func(n *Node) { // as its writer does
+		failed := n.clients[0].conn
+		failed.mu.Lock()
+		failed.failed = true
+		failed.mu.Unlock()
+	})
+	cl.tearDown(testID(1), 0)
+	cl.setup(testID(2), "free", ";at:s-1")
+	if x, _ := h.expectAt(rtsp.TearDown, s1); x.msg.Session() != testID(1) {
+		t.Errorf("released %s", x.msg.Session())
+	}
+	h.waitFor("the other session is taken over", func(n *Node) bool { return len(n.sessions) == 1 && n.sessions[testID(2)] != nil })
+}
