soak: an exit is noticed while a configuration is being written

Cause: wrote the file under the lock that the exit's notice needs; on this machine's disk opening a file for truncation takes 0.2 to 1.5 s, so a process that had ended in time was killed and reported as still running. Change: a lock of its own for the configuration.

--- a/internal/lab/soak/node.go
+++ b/internal/lab/soak/node.go
@@ -38,6 +38,10 @@
 	// onReady is called when a process has become ready.
 	onReady func()
 
+	// configMu is held while the configuration is written, and from then until its process is started. Disks may take seconds for
+	// that, so mu is not held: it is needed to notice an exit.
+	configMu sync.Mutex
+
 	mu           sync.Mutex
 	cmd          *exec.Cmd
 	exited       chan struct{} // closed when the process has exited
@@ -56,14 +60,16 @@
 	if err != nil {
 		return err
 	}
+	n.configMu.Lock()
+	defer n.configMu.Unlock()
+	if err := os.WriteFile(n.config(), text, 0o600); err != nil {
+		return err
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.stopped {
 		return nil
 	}
-	if err := os.WriteFile(n.config(), text, 0o600); err != nil {
-		return err
-	}
 	n.starts++
 	args := []string{"node", "--log", n.o.LogLevel, "--clock-offset", offset.String(), "--sabotage", string(n.o.Sabotage)}
 	if n.o.NetworkFaults {
@@ -207,27 +213,29 @@
 	if truncate {
 		text = text[:len(text)/2]
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
+	n.configMu.Lock()
+	defer n.configMu.Unlock()
 	if !n.hasStarted() || os.WriteFile(n.config(), text, 0o600) != nil { // a starting process must read its whole configuration
 		return
 	}
-	n.signalLocked(syscall.SIGHUP)
+	n.signal(syscall.SIGHUP)
 }
 
-// hasStarted reports whether the process has become ready, so that it has read its configuration. The lock is held.
-func (n *node) hasStarted() bool { return n.cmd != nil && (n.ready || n.terminatedAt > 0) }
+// hasStarted reports whether the process has become ready, so that it has read its configuration.
+func (n *node) hasStarted() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.hasStartedLocked()
+}
+
+// hasStartedLocked is hasStarted for callers that hold the lock.
+func (n *node) hasStartedLocked() bool { return n.cmd != nil && (n.ready || n.terminatedAt > 0) }
 
 // signal sends a signal to the process if it is ready or terminating.
 func (n *node) signal(sig syscall.Signal) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.signalLocked(sig)
-}
-
-// signalLocked is signal for callers that hold the lock.
-func (n *node) signalLocked(sig syscall.Signal) {
-	if !n.hasStarted() {
+	if !n.hasStartedLocked() {
 		return
 	}
 	n.log.add(record{kind: nodeSignalled, node: n.index, detail: sig.String()})
