box: a stand-in box reports the SETUPs that it drops before it closes

Cause: the witness heard of a SETUP that a box had dropped with its connection from the box's reader only; the front may react to the close, and the test ask the witness, before that goroutine has run. Change: the box reports as it closes; the reader reports all the same. The witness asks for what it asked for.

--- a/internal/lab/box/box.go
+++ b/internal/lab/box/box.go
@@ -304,10 +304,7 @@
 	for {
 		m, _, err := c.rtsp.Next()
 		if err != nil {
-			// The front closed its sending side or the connection, which withdraws its pending SETUPs.
-			if w := c.box.config.Witness; w != nil {
-				w.SetupsCancelled(c.box.ID, c.id, c.box.config.Now())
-			}
+			c.reportSetupsCancelled()    // the front closed its sending side or the connection
 			if !errors.Is(err, io.EOF) { // not a half-close: replies can't be delivered any more
 				c.sendQueue.Close()
 			}
@@ -329,11 +326,19 @@
 	}
 }
 
+// reportSetupsCancelled reports the end of the connection to the witness, which cancels the SETUPs in flight on it.
+func (c *conn) reportSetupsCancelled() {
+	if w := c.box.config.Witness; w != nil {
+		w.SetupsCancelled(c.box.ID, c.id, c.box.config.Now())
+	}
+}
+
 // serve answers the requests of one connection in order.
 func (b *Box) serve(c *conn) {
 	defer b.goroutines.Done()
 	for m := range c.requests {
 		if !b.answer(c, m) {
+			c.reportSetupsCancelled() // the front may react to the close before the reader reports it
 			c.sendQueue.Close()
 			c.socket.Close()
 			break
