--- a/internal/node/standin_test.go
+++ b/internal/node/standin_test.go
@@ -131,6 +131,8 @@
 	name         string
 	mu           sync.Mutex
 	conns        []*peer
+	killed       bool
+	serving      sync.WaitGroup // the goroutines that accept connections and answer probes
 	received     chan receivedMessage
 	ignoreProbes atomic.Bool // leaves probes unanswered
 }
@@ -147,7 +149,7 @@
 		h.t.Fatal(err)
 	}
 	fs := &fakeServer{Listener: listener, name: name, received: make(chan receivedMessage, 4096)}
-	go func() {
+	fs.serving.Go(func() {
 		for {
 			c, err := listener.Accept()
 			if err != nil {
@@ -156,8 +158,11 @@
 			p := newPeer(h.t, c, name)
 			fs.mu.Lock()
 			fs.conns = append(fs.conns, p)
+			if fs.killed {
+				p.Close()
+			}
 			fs.mu.Unlock()
-			go func() {
+			fs.serving.Go(func() {
 				for m := range p.messages {
 					if m.Method == rtsp.Options {
 						if fs.ignoreProbes.Load() {
@@ -168,10 +173,13 @@
 					}
 					fs.received <- receivedMessage{p, m}
 				}
-			}()
+			})
 		}
-	}()
-	h.t.Cleanup(fs.kill)
+	})
+	h.t.Cleanup(func() {
+		fs.kill()
+		fs.serving.Wait() // a reply that fails is logged, which must not happen after the test
+	})
 	return fs
 }
 
@@ -193,6 +201,7 @@
 	fs.Close()
 	fs.mu.Lock()
 	defer fs.mu.Unlock()
+	fs.killed = true
 	for _, p := range fs.conns {
 		p.Conn.(*net.TCPConn).SetLinger(0)
 		p.Close()
@@ -466,6 +475,24 @@
 	}
 }
 
+// pauseLoop holds the node's loop within one turn; the events queued meanwhile are handled in that turn, after resume.
+func (h *harness) pauseLoop() (resume func()) {
+	paused, resumed := make(chan struct{}), make(chan struct{})
+	h.node.post(event{do: func() { close(paused); <-resumed }})
+	<-paused
+	return func() { close(resumed) }
+}
+
+// waitForQueuedEvents waits until at least count events wait for the node's loop.
+func (h *harness) waitForQueuedEvents(count int) {
+	h.t.Helper()
+	for end := time.Now().Add(testTimeout); len(h.node.events) < count; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			h.t.Fatalf("%d events are queued, not %d", len(h.node.events), count)
+		}
+	}
+}
+
 // testID is the k-th session id.
 func testID(k int) string { return fmt.Sprintf("%016x", 0xab00000000000000+uint64(k)) }
 
