node: a session answered in the turn that reports its server's restart is released

What callers see: a session that was answered by a server's earlier process stays for ever at the node, its viewer is never told that it is lost.

Cause: the node's clock is read once a turn of its loop. A server's answer and the coordinator's report of its restart read in the same turn have the same time; with a server's clock that is not behind, the start counts as that time too, and only sessions established strictly before it were released.

Fix: a session of the same time counts as earlier, as it was established earlier in the turn. An answer that follows the report in the same turn is not yet established there and stays.

--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -459,6 +459,29 @@
 	h.waitFor("the session is removed", func(n *Node) bool { return len(n.sessions) == 0 && len(n.servers[0].sessions) == 0 })
 }
 
+// A server's answer and the report of its restart are read in the same turn of the loop, the answer first: the session is
+// released. It was kept for ever, as its time was not before that of the start.
+func TestServerStartedAnewInTheTurnOfItsAnswer(t *testing.T) {
+	h, s1 := newSingleServerHarness(t, 256)
+	feed := h.acceptFollower()
+	cl := h.connect()
+	cl.setup(testID(1), "free", "")
+	x, _ := h.expectAt(rtsp.Setup, s1)
+	resume := h.pauseLoop()
+	x.conn.answer(x.msg, 200, answerBody)
+	h.waitForQueuedEvents(1)
+	startedAtMs := time.Now().UnixMilli() + 1
+	restarted := strings.Replace(listEntry("s-1", s1.Addr().String(), "up"), `"startedAtMs":0`, fmt.Sprintf(`"startedAtMs":%d`, startedAtMs), 1)
+	fmt.Fprintf(feed, "%s\n", listEvent(2, false, restarted))
+	h.waitForQueuedEvents(2)
+	resume()
+	cl.expect("200")
+	if r := cl.expect(rtsp.TearDown); parseCause(r) != causeLost || r.Session() != testID(1) {
+		t.Errorf("released %+v", r.Header)
+	}
+	h.waitFor("the session is removed", func(n *Node) bool { return len(n.sessions) == 0 && len(n.servers[0].sessions) == 0 })
+}
+
 // A message that never ends follows an open request: that request is answered. Its connection was just closed.
 func TestHalfAMessageBesideAnOpenRequest(t *testing.T) {
 	h, s1 := newSingleServerHarness(t, 256)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -407,9 +407,10 @@
 
 // endSessionsBeforeRestart ends a server's sessions that were established before its process started: the new process does
 // not know them. The server's connections may already belong to the new process, so no broken connection reports the loss.
+// A session of the same instant was answered earlier in this turn of the loop than the start was reported, so it counts too.
 func (n *Node) endSessionsBeforeRestart(sv *server, startedAt float64) {
 	for _, s := range slices.Clone(sv.sessions) {
-		if s.establishedAt < startedAt {
+		if s.establishedAt <= startedAt {
 			n.endSession(s, choice.Reset, causeLost, noReport)
 		}
 	}
