front: requests behind a refused SETUP are answered

Cause: the session table called Answer first and Reply for the requests that waited afterwards; the front forgets a session that is turned away in Answer, and Reply found none. The class: an object is removed while something else still waits for it. Looked for on related paths: a session that is handed over left the request that its box had not answered without a response; DESCRIBEs that waited when a front stopped, and requests that were queued for the loop as it ended, were closed over.

--- a/choice/session/session.go
+++ b/choice/session/session.go
@@ -100,9 +100,11 @@
 	CloseConn(id choice.SessID, attempt int)
 	// Probe probes a box. ProbeEnded reports the result.
 	Probe(box choice.ServerID)
-	// Answer sends the final answer to the viewer; retryAfter is in seconds, and 0 gives no advice.
+	// Answer sends the final answer to the viewer; retryAfter is in seconds, and 0 gives no advice. Unless the answer is Served,
+	// it is the last action for the session, and the viewer's requests that waited for it have been replied to.
 	Answer(id choice.SessID, answer FinalAnswer, retryAfter float64)
-	// Reply answers the viewer's request number n within its session.
+	// Reply answers the viewer's request number n within its session. Each request gets one reply, before the Answer that turns
+	// its session away and before End.
 	Reply(id choice.SessID, n int, result Result)
 	// End reports that a served session has ended. Only SendOp with TearDown, and CloseConn, may follow for it.
 	End(id choice.SessID, reason EndReason)
@@ -524,13 +526,11 @@
 // endForViewer ends a session for its viewer. The following Reconcile cancels its pending SETUP or tears it down at its box.
 func (t *Table) endForViewer(s *session, reason EndReason) {
 	t.markDirty(s)
-	for _, q := range s.queue {
-		s.replies = append(s.replies, reply{q.n, NoSession})
-	}
+	s.rejectQueue()
 	if s.pendingOp.op != 0 {
 		s.replies = append(s.replies, reply{s.pendingOp.n, BoxUnavailable})
 	}
-	s.queue, s.pendingOp = nil, queuedOp{}
+	s.pendingOp = queuedOp{}
 	if reason != FrontStopping || s.servedSent {
 		s.viewerPresent = false
 	}
@@ -564,6 +564,14 @@
 	}
 }
 
+// rejectQueue replies to the viewer's waiting requests that their session does not exist or has ended.
+func (s *session) rejectQueue() {
+	for _, q := range s.queue {
+		s.replies = append(s.replies, reply{q.n, NoSession})
+	}
+	s.queue = nil
+}
+
 // dispatchQueue processes the viewer's waiting requests in order until one has to wait for the box.
 func (t *Table) dispatchQueue(s *session) {
 	for len(s.queue) > 0 && s.pendingOp.op == 0 && s.phase != closing && s.phase != ended {
@@ -786,23 +794,22 @@
 		s.rung = s.wantRung
 		t.actions.Setup(s.id, s.attempt, s.box, s.rung)
 	}
-	if s.answerOwed && s.answer != 0 {
-		s.answerOwed, s.servedSent = false, s.answer == Served
-		t.actions.Answer(s.id, s.answer, s.retryAfter)
-		if s.answer != Served {
-			s.viewerPresent = false
-			for _, q := range s.queue {
-				s.replies = append(s.replies, reply{q.n, NoSession})
-			}
-			if s.queue = nil; s.phase == idle {
-				s.phase = ended
-			}
+	answers := s.answerOwed && s.answer != 0
+	if answers && s.answer != Served {
+		s.viewerPresent = false
+		s.rejectQueue()
+		if s.phase == idle {
+			s.phase = ended
 		}
 	}
-	for _, r := range s.replies {
+	for _, r := range s.replies { // before Answer and End, after which the session may be gone
 		t.actions.Reply(s.id, r.n, r.result)
 	}
 	s.replies = nil
+	if answers {
+		s.answerOwed, s.servedSent = false, s.answer == Served
+		t.actions.Answer(s.id, s.answer, s.retryAfter)
+	}
 	if s.pendingOp.op != 0 && !s.opSent {
 		s.opSent = true
 		t.actions.SendOp(s.id, s.attempt, s.pendingOp.op, s.pendingOp.n)
--- a/choice/session/session_test.go
+++ b/choice/session/session_test.go
@@ -143,6 +143,9 @@
 func (h *harness) Answer(id choice.SessID, v FinalAnswer, _ float64) {
 	x := h.viewers[id]
 	x.answers = append(x.answers, v)
+	if v != Served {
+		h.requireAllReplied(id)
+	}
 	if len(x.answers) > 1 || x.left {
 		h.tb.Fatalf("%s: answers %v, viewer left: %v", id, x.answers, x.left)
 	}
@@ -167,6 +170,15 @@
 		h.tb.Fatalf("%s: ended twice or without being served: answers %v", id, v.answers)
 	}
 	v.ended = true
+	h.requireAllReplied(id)
+}
+
+// requireAllReplied checks that no request of a viewer waits for a session that is being turned away or has ended: whoever carries
+// out the actions may forget the session then.
+func (h *harness) requireAllReplied(id choice.SessID) {
+	if n := len(h.viewers[id].pending); n > 0 {
+		h.tb.Fatalf("%s: %d requests without a reply at its end", id, n)
+	}
 }
 
 func (h *harness) open(group int, title string) choice.SessID {
--- a/internal/front/boxes.go
+++ b/internal/front/boxes.go
@@ -501,14 +501,12 @@
 	}
 	pr := sess.pendingOps[op]
 	delete(sess.pendingOps, op)
-	status := map[session.Result]int{session.NoSession: rtsp.SessionNotFound, session.WrongState: rtsp.NotValidInThisState,
-		session.BoxRefused: rtsp.InternalError, session.BoxUnavailable: rtsp.GatewayTimeout, session.TooManyRequests: rtsp.ServiceUnavailable}
 	if result != session.Done {
 		if pr.req.Method == rtsp.Setup {
 			p, _ := rtsp.ParseURL(pr.req.URL)
 			sess.tracks = slices.DeleteFunc(sess.tracks, func(o track) bool { return o.number == max(p.Track, 0) })
 		}
-		sess.viewer.respondStatus(pr, status[result])
+		sess.viewer.respondStatus(pr, replyStatus[result])
 		return
 	}
 	switch pr.req.Method {
@@ -550,9 +548,6 @@
 	if sess.viewer == nil {
 		return
 	}
-	for _, pr := range sess.pendingOps { // only a bug leaves any; they must not block the connection's later responses
-		sess.viewer.respondStatus(pr, rtsp.SessionNotFound)
-	}
 	if reason != session.ByViewer && len(sess.viewer.sessions) == 0 && len(sess.viewer.pending) == 0 {
 		sess.viewer.finish()
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -222,15 +222,7 @@
 		case e := <-f.events:
 			f.table.SetTime(f.now())
 			e()
-		collect:
-			for range maxBatch {
-				select {
-				case e := <-f.events:
-					e()
-				default:
-					break collect
-				}
-			}
+			f.runQueuedEvents()
 		case <-timer.C:
 			timerAt = 0
 			f.table.SetTime(f.now())
@@ -239,6 +231,7 @@
 			f.measureDelivery()
 		case <-f.quit:
 			f.table.SetTime(f.now())
+			f.runQueuedEvents()
 			f.table.EndSessions()
 			f.reconcile()
 			f.finalSnapshot = f.table.Snapshot()
@@ -264,6 +257,18 @@
 	}
 }
 
+// runQueuedEvents handles events that are queued already, at most maxBatch.
+func (f *Front) runQueuedEvents() {
+	for range maxBatch {
+		select {
+		case e := <-f.events:
+			e()
+		default:
+			return
+		}
+	}
+}
+
 // reconcile runs the table's actions and the callbacks they queue until none is left.
 func (f *Front) reconcile() {
 	start := time.Now()
@@ -454,7 +459,7 @@
 // closed at once.
 func (f *Front) closeConns() {
 	for v := range f.viewers {
-		v.finish()
+		v.closeAnswered()
 	}
 	for _, b := range f.boxConns {
 		if b.cancelled {
--- a/internal/front/handover.go
+++ b/internal/front/handover.go
@@ -50,10 +50,8 @@
 			delete(f.connOf, id)
 			c.session = nil
 			c.close()
+			sess.answerPendingOps(rtsp.ServiceUnavailable) // repeated by the viewer when it claims the session
 			f.removeSession(sess)
-			if sess.viewer != nil {
-				sess.viewer.finish()
-			}
 		}
 	})
 	f.Close()
--- a/internal/front/viewer.go
+++ b/internal/front/viewer.go
@@ -222,8 +222,11 @@
 	f.log.Debug("viewer connection closed", zap.Error(err))
 }
 
-// respond sets the response to a request and sends all responses that are next in the order of the requests.
+// respond sets the response to a request, unless it has one, and sends all responses that are next in the order of the requests.
 func (v *viewer) respond(pr *pendingRequest, r *rtsp.Message) {
+	if pr.resp != nil {
+		return
+	}
 	if strings.EqualFold(pr.req.Header.Get("Connection"), "close") {
 		r.WithHeader("Connection", "close")
 	}
@@ -492,11 +495,13 @@
 	return 0, 0, false
 }
 
-// removeSession removes a session whose end has been reported.
+// removeSession removes a session whose end has been reported. Requests that it has not replied to, such as early ones for a
+// handed over session, don't block the later responses of their connection.
 func (f *Front) removeSession(sess *frontSession) {
 	delete(f.sessions, sess.id)
 	if sess.viewer != nil {
 		delete(sess.viewer.sessions, sess.id)
+		sess.answerPendingOps(rtsp.SessionNotFound)
 	}
 	f.meter.Forget(sess.id)
 	sess.playing = false
--- a/internal/lab/box/box.go
+++ b/internal/lab/box/box.go
@@ -132,6 +132,7 @@
 // Counts holds counters of a box's traffic.
 type Counts struct {
 	Setups, FullReplies, Packets, Bytes int64
+	Plays                               int64 // PLAYs received, answered or not
 	ReceivedFrames                      int64 // interleaved frames from fronts
 	Sessions                            int
 	Overloaded                          bool
@@ -400,6 +401,9 @@
 			return false
 		}
 	}
+	if m.Method == rtsp.Play {
+		b.counts.Plays++
+	}
 	for (b.hanging || b.holdingAnswers) && !b.down && !c.closed {
 		b.stateChanged.Wait()
 	}
