front: a pipelined SETUP joins its session although the first was answered

Cause: a SETUP without a Session header joined a session only while that one's first SETUP was unanswered. Whether it had been answered by the time the loop read the next request says nothing about what the viewer knew when it wrote it.

Now it joins the latest session of its presentation that lacks the track until the viewer has named that session in a request, at most for a second after the answer left, the longest round trip; after that a viewer has had the answer and asks for another session.

--- a/choice/limits/limits.go
+++ b/choice/limits/limits.go
@@ -56,6 +56,13 @@
 // of which takes memory.
 const MaxPipelined = 16
 
+// maxRoundTrip is the longest round trip to a viewer in seconds; SETUP timeouts are two to three of them.
+const maxRoundTrip = 1.0
+
+// MayCross reports whether a request that was read at time now may have been sent before its viewer received a response that left
+// at time sentAt, in seconds; 0 if it has not left yet.
+func MayCross(now, sentAt float64) bool { return sentAt == 0 || now-sentAt < maxRoundTrip }
+
 const (
 	// LateAnswerWait is the time in seconds to wait for the answer to a withdrawn SETUP, to tear down what it set up. A box
 	// that stalls for longer drops the sessions of closed connections by itself.
--- a/internal/front/viewer.go
+++ b/internal/front/viewer.go
@@ -36,6 +36,7 @@
 	pending     []*pendingRequest // unanswered requests in order; removed when their responses are sent
 	sessions    map[choice.SessID]*frontSession
 	lastOp      int // number of the last request within a session
+	lastSession int // number of the last session that was requested
 	id          uint64
 	failedAuths int // requests with wrong credentials
 	lastCSeq    int // of the requests sent to the viewer
@@ -44,8 +45,9 @@
 
 // pendingRequest holds a request and its response, once known, so that responses leave in the order of the requests.
 type pendingRequest struct {
-	req  *rtsp.Message
-	resp *rtsp.Message
+	req     *rtsp.Message
+	resp    *rtsp.Message
+	session *frontSession // the one that a SETUP requested; nil for other requests
 }
 
 // frontSession is the protocol state of a session: its viewer, tracks and pending requests.
@@ -59,6 +61,9 @@
 	stream      *relay.Stream           // nil as long as viewer is nil
 	requestedAt float64                 // on the front's clock
 	firstSetup  *pendingRequest         // the SETUP that requested it; nil once answered
+	number      int                     // of the sessions requested on the viewer's connection
+	answeredAt  float64                 // when the response to firstSetup left, on the front's clock; 0 before
+	named       bool                    // the viewer has named it, so that it has the response to firstSetup
 	pendingOps  map[int]*pendingRequest // unanswered later requests by number
 	playing     bool
 	adopting    bool          // handed over, connection to its box pending
@@ -232,9 +237,12 @@
 	}
 	pr.resp = r
 	for len(v.pending) > 0 && v.pending[0].resp != nil {
-		m := v.pending[0].resp
+		m, sess := v.pending[0].resp, v.pending[0].session
 		v.pending = v.pending[1:]
 		<-v.inFlight
+		if sess != nil {
+			sess.answeredAt = v.f.now()
+		}
 		if v.closed {
 			continue
 		}
@@ -335,9 +343,18 @@
 }
 
 func (v *viewer) markSeen(m *rtsp.Message) {
-	if id := choice.SessID(m.Session()); v.sessions[id] != nil {
-		v.f.table.ViewerSeen(id)
+	if sess := v.namedSession(m); sess != nil {
+		v.f.table.ViewerSeen(sess.id)
+	}
+}
+
+// namedSession returns the viewer's session that a request names by its id, or nil.
+func (v *viewer) namedSession(m *rtsp.Message) *frontSession {
+	sess := v.sessions[choice.SessID(m.Session())]
+	if sess != nil {
+		sess.named = true
 	}
+	return sess
 }
 
 // findSession returns the session that a request names. A request without a session id, as pipelined before the response
@@ -347,7 +364,7 @@
 		if sess := v.f.sessions[id]; sess != nil && sess.viewer == nil {
 			v.claim(sess)
 		}
-		return v.sessions[id]
+		return v.namedSession(m)
 	}
 	if len(v.sessions) == 1 {
 		for _, sess := range v.sessions {
@@ -429,7 +446,10 @@
 		v.respondStatus(pr, rtsp.SessionNotFound)
 		return
 	}
-	sess := &frontSession{id: newSessionID(), viewer: v, requestedAt: f.now(), group: group, place: place, tracks: []track{t}, firstSetup: pr, pendingOps: map[int]*pendingRequest{}}
+	v.lastSession++
+	sess := &frontSession{id: newSessionID(), viewer: v, requestedAt: f.now(), group: group, place: place, tracks: []track{t}, firstSetup: pr, number: v.lastSession,
+		pendingOps: map[int]*pendingRequest{}}
+	pr.session = sess
 	sess.attach(v)
 	f.sessions[sess.id] = sess
 	bandwidth, _ := strconv.ParseFloat(strings.TrimSpace(m.Header.Get("Bandwidth")), 64)
@@ -452,18 +472,24 @@
 	}
 }
 
-// sessionToJoin returns the session that a SETUP adds a track to: the one it names, or one of the same presentation whose
-// first SETUP is still pending, as with pipelined SETUPs.
-func (v *viewer) sessionToJoin(m *rtsp.Message, p rtsp.Resource) *frontSession {
-	if id := m.Session(); id != "" {
-		return v.sessions[choice.SessID(id)]
+// sessionToJoin returns the session that a SETUP adds a track to: the one it names, or, as with pipelined SETUPs, the latest one of
+// the same presentation whose id the viewer may not have known.
+func (v *viewer) sessionToJoin(m *rtsp.Message, p rtsp.Resource) (joined *frontSession) {
+	if m.Session() != "" {
+		return v.namedSession(m)
 	}
 	for _, sess := range v.sessions {
-		if sess.firstSetup != nil && sess.place.Group == p.Group && sess.place.Title == p.Title && !sess.hasTrack(max(p.Track, 0)) {
-			return sess
+		if sess.mayBeUnknown() && sess.place.Group == p.Group && sess.place.Title == p.Title && !sess.hasTrack(max(p.Track, 0)) &&
+			(joined == nil || sess.number > joined.number) {
+			joined = sess
 		}
 	}
-	return nil
+	return joined
+}
+
+// mayBeUnknown reports whether a request that was just read may have been sent before its viewer knew the session's id.
+func (sess *frontSession) mayBeUnknown() bool {
+	return !sess.named && limits.MayCross(sess.viewer.f.now(), sess.answeredAt)
 }
 
 func (sess *frontSession) hasTrack(n int) bool {
