--- a/internal/lab/soak/judge.go
+++ b/internal/lab/soak/judge.go
@@ -126,11 +126,11 @@
 	readBeforeAbort bool                     // the node had read it before the close
 	endedAt         map[string]time.Duration // when its sessions ended, by server
 
-	releaseCause     int             // the cause of its last session's end
-	releaseWrittenAt time.Duration   // when its server last wrote the release; 0 if never
-	releasesReadAt   []time.Duration // when its client read releases
-	named            record          // when its client named it last; zero if never
-	endedByClient    record          // when its client ended it; zero if never
+	releaseCause   int             // the cause of its last session's end
+	releaseWrites  []record        // each time that its server wrote the release, in order
+	releasesReadAt []time.Duration // when its client read releases
+	named          record          // when its client named it last; zero if never
+	endedByClient  record          // when its client ended it; zero if never
 }
 
 // never stands for a time that is not reached.
@@ -230,7 +230,7 @@
 		h.recordEnd(r.server, r.at)
 		h.releaseCause = r.status
 	case releaseWritten:
-		h.releaseWrittenAt = max(h.releaseWrittenAt, r.at)
+		h.releaseWrites = append(h.releaseWrites, r)
 	case sessionNamed:
 		h.named = r
 	case sessionEndedByClient:
@@ -364,7 +364,8 @@
 		if a.read.transitDelay+previous.read.transitDelay > 0 { // it is unknown which was sent first
 			continue
 		}
-		swapped := a.read.at-previous.read.at < readOrderSlack && a.tornDown < previous.read.at+readOrderSlack
+		inFlight := previous.endedAt > a.read.at
+		swapped := inFlight && a.read.at-previous.read.at < readOrderSlack && a.tornDown < previous.read.at+readOrderSlack
 		if swapped { // a was sent first, and had been given up
 			previous, a = a, previous
 		} else if a.read.at < previous.endedAt-socketSlack-loadSlack {
--- a/internal/lab/soak/judgeend.go
+++ b/internal/lab/soak/judgeend.go
@@ -18,10 +18,14 @@
 	diedAt       map[string]time.Duration   // by server
 	replacements map[int][]record           // connections that took the place of all others, by node
 	useless      map[int][]record           // periods with connections on which clients read nothing, by node
+	serverEnds   map[serverConnKey][]time.Duration
 }
 
+// serverConnKey identifies a connection to a server by the node's address, which later connections may use again.
+type serverConnKey struct{ server, peer string }
+
 func newConnLog(records []record) *connLog {
-	l := &connLog{ends: map[string][]time.Duration{}, diedAt: map[string]time.Duration{}, replacements: map[int][]record{}, useless: map[int][]record{}}
+	l := &connLog{ends: map[string][]time.Duration{}, diedAt: map[string]time.Duration{}, replacements: map[int][]record{}, useless: map[int][]record{}, serverEnds: map[serverConnKey][]time.Duration{}}
 	for _, r := range records {
 		switch r.kind {
 		case connectionEnded:
@@ -32,6 +36,9 @@
 			l.replacements[r.node] = append(l.replacements[r.node], r)
 		case uselessOpened:
 			l.useless[r.node] = append(l.useless[r.node], r)
+		case serverConnEnded:
+			key := serverConnKey{r.server, r.peer}
+			l.serverEnds[key] = append(l.serverEnds[key], r.at)
 		}
 	}
 	return l
@@ -39,14 +46,33 @@
 
 // endOf returns when the connection ended that a client address had at a given time; false if it did not end.
 func (l *connLog) endOf(peer string, at time.Duration) (time.Duration, bool) {
-	for _, end := range l.ends[peer] {
-		if end >= at {
-			return end, true
+	return firstFrom(l.ends[peer], at)
+}
+
+// firstFrom returns the first of some ordered times that is not before a given one; false if there is none.
+func firstFrom(times []time.Duration, at time.Duration) (time.Duration, bool) {
+	for _, t := range times {
+		if t >= at {
+			return t, true
 		}
 	}
 	return 0, false
 }
 
+// releaseReceived returns when a release was written of which its node certainly learned: the first write to a connection that did
+// not end soon after. Servers write a release again on each later connection, which gives the node no more time. Without such a write
+// it is the last one; 0 if there is none.
+func (l *connLog) releaseReceived(writes []record) (at time.Duration) {
+	for _, w := range writes {
+		at = w.at
+		end, ended := firstFrom(l.serverEnds[serverConnKey{w.server, w.peer}], w.at)
+		if !ended || end > w.at+releaseLossWindow {
+			return at
+		}
+	}
+	return at
+}
+
 // replacementOpen reports whether a replacement of a node's connections was open throughout a period in which no useless
 // connection was, so that a release must have arrived on it.
 func (l *connLog) replacementOpen(node int, from, to time.Duration) bool {
@@ -91,7 +117,7 @@
 // releaseLimit returns when a session ended at its server and until when its client must be notified; due is false if that is not
 // required.
 func (c *checker) releaseLimit(h *history, server string, conns *connLog) (end, limit time.Duration, due bool) {
-	end, timeout := h.releaseWrittenAt, releaseTimeout
+	end, timeout := conns.releaseReceived(h.releaseWrites), releaseTimeout
 	if h.endedAt[server] == 0 {
 		if end = conns.diedAt[server]; end == 0 {
 			return 0, 0, false // it is still established, or its server did not end it
--- a/internal/lab/soak/record.go
+++ b/internal/lab/soak/record.go
@@ -43,10 +43,11 @@
 	sessionNamed                     // a client names a session that stands
 	sessionEndedByClient             // a client ends a session that stands
 	uselessOpened                    // connections are opened for a duration on which clients read nothing
+	serverConnEnded                  // a connection to a server has ended
 )
 
 var kindNames = [...]string{"request sent", "request cancelled", "request aborted", "answer read", "release read", "attempt read", "attempt answered",
-	"attempt cancelled", "session ended", "release written", "server died", "connection ended", "rung read", "entry published", "node started", "node ready", "node terminated", "node exited", "node killed", "node suspended", "node signalled", "node measured", "node logged a fault", "fault", "replacement opened", "session named", "ended by client", "useless opened"}
+	"attempt cancelled", "session ended", "release written", "server died", "connection ended", "rung read", "entry published", "node started", "node ready", "node terminated", "node exited", "node killed", "node suspended", "node signalled", "node measured", "node logged a fault", "fault", "replacement opened", "session named", "ended by client", "useless opened", "server connection ended"}
 
 // record is one recorded event. Which fields are set depends on its kind.
 type record struct {
@@ -64,7 +65,7 @@
 	megabytes    float64       // resident memory of a measured process
 	transitDelay time.Duration // how long an attempt was delayed by a network partition
 	detail       string
-	peer         string // client address of a request's connection
+	peer         string // client address of a request's connection, node's address of a connection to a server
 }
 
 func (r record) String() string {
--- a/internal/lab/soak/replace.go
+++ b/internal/lab/soak/replace.go
@@ -43,22 +43,40 @@
 // faults, whose plan for a seed stays as it is.
 func (s *soak) replaceConnections(ctx context.Context) {
 	draws := rand.New(rand.NewPCG(s.o.Seed, 0x4e91))
+	var kinds []int // those still to come of a shuffled round of all kinds
 	for sleep(ctx, time.Duration(draws.ExpFloat64()*float64(replaceInterval))) {
 		if s.log.now() < quietStart {
 			continue
 		}
-		c := s.clients[draws.IntN(len(s.clients))]
-		kind := replacementKind(draws.IntN(int(replacementKinds)))
+		start := draws.IntN(len(s.clients))
 		quiet := randomDuration(draws, minQuiet, maxQuiet)
 		first, reset := draws.IntN(2) == 0, draws.IntN(4) > 0
-		if s.log.now()+quiet > s.o.Duration-quietEnd || !c.node.acceptsConns() || c.isQuiet() {
+		c := s.replaceableClients(start)
+		if c == nil || s.log.now()+quiet > s.o.Duration-quietEnd {
 			continue
 		}
+		if len(kinds) == 0 {
+			kinds = draws.Perm(int(replacementKinds))
+		}
+		kind := replacementKind(kinds[0])
+		kinds = kinds[1:]
 		s.reportFault(fmt.Sprintf("connections to node %d replaced for %v, %s, opened first %v, reset %v", c.node.index, quiet.Round(time.Millisecond), kind, first, reset))
 		s.background.Go(func() { c.replace(kind, quiet, first, reset) })
 	}
 }
 
+// replaceableClients returns the clients of the first node, counted from a drawn one, that accepts connections and is not quiet
+// already; nil if there is none.
+func (s *soak) replaceableClients(start int) *clients {
+	for i := range s.clients {
+		c := s.clients[(start+i)%len(s.clients)]
+		if c.node.acceptsConns() && !c.isQuiet() {
+			return c
+		}
+	}
+	return nil
+}
+
 // replace ends all connections to the node, by a reset or a close, and opens one in their place before or after that. No request is
 // sent for the quiet time.
 func (c *clients) replace(kind replacementKind, quiet time.Duration, first, reset bool) {
--- a/internal/lab/soak/server.go
+++ b/internal/lab/soak/server.go
@@ -238,6 +238,7 @@
 		}
 	}
 	c.Close()
+	s.log.add(record{kind: serverConnEnded, server: s.id, node: -1, peer: c.RemoteAddr().String()})
 	s.mu.Lock()
 	delete(s.conns, c)
 	var gone []string
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -215,7 +215,7 @@
 	ms := time.Millisecond
 	clean := []record{sent, attempt(1010*ms, "s-1"), answered(1020*ms, "s-1", 453), attempt(1030*ms, "s-2"), answered(1040*ms, "s-2", 200), read(1050*ms, 200, description(id, "s-2"))}
 	replaced := append(append([]record{}, clean...), record{at: 1500 * ms, kind: connectionEnded, node: 3, detail: "a"}, record{at: 1500 * ms, kind: replacementOpened, node: 3, peer: "b"},
-		record{at: 2 * time.Second, kind: sessionEnded, request: id, server: "s-2", status: 16}, record{at: 2 * time.Second, kind: releaseWritten, request: id, server: "s-2", node: 3})
+		record{at: 2 * time.Second, kind: sessionEnded, request: id, server: "s-2", status: 16}, record{at: 2 * time.Second, kind: releaseWritten, request: id, server: "s-2", node: 3, peer: "c"})
 	wrongOrder := func(class int) []record { // s-1 was sent the first attempt, which was given up
 		request := sent
 		request.class, request.wait = class, classes[class].deadline
@@ -245,6 +245,8 @@
 		{"release reported late", append(append([]record{}, clean...), record{at: 2 * time.Second, kind: sessionEnded, request: id, server: "s-2", status: 16}, record{at: 2 * time.Second, kind: releaseWritten, request: id, server: "s-2", node: 3}, record{at: 3500 * ms, kind: releaseRead, request: id, node: 3}), Released},
 		{"server died, release not reported", append(append([]record{}, clean...), record{at: 2 * time.Second, kind: serverDied, server: "s-2", node: -1}), Released},
 		{"replaced, release not reported in time", append(append([]record{}, replaced...), record{at: 4 * time.Second, kind: releaseRead, request: id, node: 3}), Released},
+		{"replaced, release written again later, not reported in time", append(append([]record{}, replaced...), record{at: 3900 * ms, kind: releaseWritten, request: id, server: "s-2", node: 3, peer: "d"}, record{at: 4 * time.Second, kind: releaseRead, request: id, node: 3}), Released},
+		{"replaced, release lost with its connection and written again", append(append([]record{}, replaced...), record{at: 2100 * ms, kind: serverConnEnded, server: "s-2", node: -1, peer: "c"}, record{at: 3900 * ms, kind: releaseWritten, request: id, server: "s-2", node: 3, peer: "d"}, record{at: 4 * time.Second, kind: releaseRead, request: id, node: 3}), ""},
 		{"replaced, release reported in time", append(append([]record{}, replaced...), record{at: 2900 * ms, kind: releaseRead, request: id, node: 3}), ""},
 		{"replaced beside a useless connection", append(append([]record{{at: 1900 * ms, kind: uselessOpened, node: 3, wait: time.Second}}, replaced...), record{at: 4 * time.Second, kind: releaseRead, request: id, node: 3}), ""},
 		{"named after a restart, release not reported", append(append([]record{}, clean...), record{at: 1500 * ms, kind: nodeExited, node: 3}, record{at: 2 * time.Second, kind: sessionNamed, request: id, server: "s-2", node: 3}, record{at: 3 * time.Second, kind: sessionEnded, request: id, server: "s-2", status: 16}, record{at: 3 * time.Second, kind: releaseWritten, request: id, server: "s-2", node: 3}), Released},
@@ -253,6 +255,7 @@
 		{"replaced beside a useless connection, its address used again", append(append([]record{{at: 1900 * ms, kind: uselessOpened, node: 3, wait: time.Second}}, replaced...), record{at: 4 * time.Second, kind: releaseRead, request: id, node: 3}, record{at: 9 * time.Second, kind: connectionEnded, node: 3, detail: "a"}), ""},
 		{"two attempts recorded in the wrong order", wrongOrder(0), ""},
 		{"retried after it may have run, recorded in the wrong order", wrongOrder(1), NotRepeated},
+		{"retried after a refusal, its connection ended at once", []record{sent, attempt(1010*ms, "s-1"), answered(1011*ms, "s-1", 453), attempt(1012*ms, "s-2"), {at: 1012 * ms, kind: attemptCancelled, request: id, server: "s-2", node: -1}, read(1013*ms, 500, "")}, ""},
 		{"replaced, the server had no connection", append(append([]record{}, replaced[:len(replaced)-1]...), record{at: 4 * time.Second, kind: releaseRead, request: id, node: 3}), ""},
 		{"a session too many", seated(3), Terms},
 		{"a session too many, one ended by its client", append(seated(3), record{at: 1200 * ms, kind: sessionEndedByClient, request: seatedID(0), node: 3}), ""},
