soak: the test of an attempt after a refusal has the times of its trace

The attempt's connection ended 0.1 ms after it was read, not in the same instant, where the judge passes over it.

--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -255,7 +255,7 @@
 		{"replaced beside a useless connection, its address used again", append(append([]record{{at: 1900 * ms, kind: uselessOpened, node: 3, wait: time.Second}}, replaced...), record{at: 4 * time.Second, kind: releaseRead, request: id, node: 3}, record{at: 9 * time.Second, kind: connectionEnded, node: 3, detail: "a"}), ""},
 		{"two attempts recorded in the wrong order", wrongOrder(0), ""},
 		{"retried after it may have run, recorded in the wrong order", wrongOrder(1), NotRepeated},
-		{"retried after a refusal, its connection ended at once", []record{sent, attempt(1010*ms, "s-1"), answered(1011*ms, "s-1", 453), attempt(1012*ms, "s-2"), {at: 1012 * ms, kind: attemptCancelled, request: id, server: "s-2", node: -1}, read(1013*ms, 500, "")}, ""},
+		{"retried after a refusal, its connection ended at once", []record{sent, attempt(1010*ms, "s-1"), answered(1011*ms, "s-1", 453), attempt(1012*ms, "s-2"), {at: 1012*ms + 100*time.Microsecond, kind: attemptCancelled, request: id, server: "s-2", node: -1}, read(1013*ms, 500, "")}, ""},
 		{"replaced, the server had no connection", append(append([]record{}, replaced[:len(replaced)-1]...), record{at: 4 * time.Second, kind: releaseRead, request: id, node: 3}), ""},
 		{"a session too many", seated(3), Terms},
 		{"a session too many, one ended by its client", append(seated(3), record{at: 1200 * ms, kind: sessionEndedByClient, request: seatedID(0), node: 3}), ""},
