node: a message that arrived while the process was suspended is not overdue

Cause: the process was suspended for 0.24 s, in which the requests came and the 2 s for a connection's first message ran out. A read whose deadline has passed fails although input waits; the reader then discarded the input while the loop closed the connection. The same for the rest of a message that had begun, and for a server's answer (1 s), whose connection was closed and whose paid request failed.

Now a read that is overdue gets one more try of 20 ms, once a message; and a connection without open requests is closed without discarding its input, so that a request that crosses the close is not read and its client sees a reset.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -32,7 +32,7 @@
 func (n *Node) readClient(cl *client) {
 	defer n.wg.Done()
 	defer context.AfterFunc(n.ctx, func() { cl.nc.Close() })()
-	messages := rtsp.NewConn(cl.nc, messageBounds)
+	messages := rtsp.NewConn(overdueReader{cl.nc, cl.extendDeadline}, messageBounds)
 	cl.awaitFirstMessage()
 	for {
 		err := messages.AwaitMessage()
@@ -77,15 +77,24 @@
 	if !timedOut && !errors.As(err, &malformed) && err != nil {
 		return
 	}
+	answers := make(chan bool, 1)
 	delivered := n.post(event{do: func() {
 		if timedOut {
-			n.messageTimedOut(cl)
+			answers <- n.messageTimedOut(cl)
 		} else {
 			n.rejectMalformed(cl, malformed)
+			answers <- true
 		}
 	}})
-	if delivered {
-		cl.discardInput()
+	if !delivered {
+		return
+	}
+	select {
+	case answered := <-answers:
+		if answered { // the client gets the answer only if its input is read until then
+			cl.discardInput()
+		}
+	case <-n.ctx.Done():
 	}
 }
 
@@ -165,14 +174,16 @@
 }
 
 // messageTimedOut ends a connection with a message that was not completed in time. Open requests on it are answered;
-// without any, it is just closed.
-func (n *Node) messageTimedOut(cl *client) {
+// without any, it is just closed: a request that crosses the close stays unread, so that its client sees a reset. It reports
+// whether something was answered.
+func (n *Node) messageTimedOut(cl *client) (answered bool) {
 	if cl.Pending == 0 {
 		cl.readerStopped = true // its reader holds no complete message
 		n.closeClient(cl, reasonMessageTimeout)
-		return
+		return false
 	}
 	n.rejectMalformed(cl, &rtsp.MalformedError{Status: rtsp.RequestTimeout})
+	return true
 }
 
 // rejectMalformed answers malformed input and ends the connection, as the start of its next message is unknown.
--- a/internal/node/readcontrol.go
+++ b/internal/node/readcontrol.go
@@ -21,6 +21,7 @@
 	forceStop     bool      // the reader is to stop even within a message
 	inMessage     bool      // the start of the current message has been read
 	beforeFirst   bool      // no message was read yet
+	overdue       bool      // the time limit has passed, and overdueGrace is used up or running
 	resume        chan bool // the loop's decision about a stopped reader: resume, or end
 }
 
@@ -35,6 +36,37 @@
 	return readControl{netConn: nc, resume: make(chan bool, 1)}
 }
 
+// overdueGrace is the time for input that has already arrived when a message's time limit is found to have passed: the process may
+// have been suspended meanwhile.
+const overdueGrace = 20 * time.Millisecond
+
+// overdueReader reads a connection and gives a read whose deadline has passed another try if extend allows it.
+type overdueReader struct {
+	net.Conn
+	extend func() bool // sets a later deadline; false if the deadline is final
+}
+
+// Read implements net.Conn.
+func (r overdueReader) Read(b []byte) (int, error) {
+	n, err := r.Conn.Read(b)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && r.extend() {
+		return r.Conn.Read(b)
+	}
+	return n, err
+}
+
+// extendDeadline gives an overdue message overdueGrace, once. It returns false if the deadline was not that of a message.
+func (r *readControl) extendDeadline() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stopRequested || r.overdue || !r.beforeFirst && !r.inMessage {
+		return false
+	}
+	r.overdue = true
+	r.netConn.SetReadDeadline(time.Now().Add(overdueGrace))
+	return true
+}
+
 // partialMessageGrace is the time that a reader stopped by force has for the rest of a message that it has begun to
 // read.
 const partialMessageGrace = 20 * time.Millisecond
@@ -123,6 +155,7 @@
 // updateDeadline sets the deadline of the next read; the lock is held.
 func (r *readControl) updateDeadline() {
 	var at time.Time
+	r.overdue = false
 	if r.beforeFirst || r.inMessage {
 		at = time.Now().Add(clientMessageTimeout)
 	}
--- a/internal/node/serverconn.go
+++ b/internal/node/serverconn.go
@@ -114,13 +114,22 @@
 		c.close()
 		return
 	}
-	messages := rtsp.NewConn(nc, messageBounds)
+	overdue := false // the time limit of the present message has been extended
+	messages := rtsp.NewConn(overdueReader{nc, func() bool {
+		if overdue || c.isClosing() {
+			return false
+		}
+		overdue = true
+		nc.SetReadDeadline(time.Now().Add(overdueGrace))
+		return true
+	}}, messageBounds)
 	for err == nil {
 		if err = messages.AwaitMessage(); err != nil {
 			break
 		}
 		if !c.isClosing() {
 			nc.SetReadDeadline(time.Now().Add(serverMessageTimeout))
+			overdue = false
 		}
 		var m *rtsp.Message
 		if m, _, err = messages.Next(); err == nil && (m == nil || messages.OutOfSync()) {
--- a/internal/node/standin_test.go
+++ b/internal/node/standin_test.go
@@ -249,6 +249,7 @@
 	onLog               func(message string) // called for each log line as it is written
 	writeDelay          time.Duration        // delays each write of the node to a client
 	openClients         *atomic.Int64        // counts the client connections that the node holds, unless nil
+	wrapListener        func(net.Listener) net.Listener
 }
 
 // countingListener counts its accepted connections that are open.
@@ -349,6 +350,9 @@
 	if h.openClients != nil {
 		listener = countingListener{listener, h.openClients}
 	}
+	if h.wrapListener != nil {
+		listener = h.wrapListener(listener)
+	}
 	log := zap.New(zapcore.RegisterHooks(zapcore.NewCore(zapcore.NewJSONEncoder(zapcore.EncoderConfig{}), zapcore.AddSync(io.Discard), zap.InfoLevel), h.checkLogEntry))
 	if os.Getenv("NODE_TEST_LOG") != "" {
 		log, _ = zap.NewDevelopment(zap.Hooks(h.checkLogEntry))
