choice: what events bring is converted to the settings in force at the module's border

Cause: callers may refer to earlier settings. The session table reported the rung in force at the box, by the old ladder, and the module indexed the new one with it; the platform's node checked that figure itself. Groups, kinds and cells were taken as they came too.

Now border.go converts each: rungs have a type of their own inside the module, which only the conversion makes (the nearest rung of the ladder in force); a request of an unknown group gets a busy reply; loads and shares that are no numbers are ignored.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -187,10 +187,12 @@
 			rates[i] = r * g.Scale
 		}
 		g.AddedRateShare = cmp.Or(g.AddedRateShare, 1)
-		f.groups = append(f.groups, group{g, rates, 0})
+		known := group{ServiceGroup: g, rates: rates}
+		known.floor, known.top = known.knownRung(g.Floor), known.knownRung(g.Top)
 		if g.Utility > lowest {
-			f.groups[len(f.groups)-1].premium = 1
+			known.premium = 1
 		}
+		f.groups = append(f.groups, known)
 	}
 	for range f.racks {
 		f.uplinks = append(f.uplinks, &link{nominal: config.MeanUplinkCapacity, capacity: config.MeanUplinkCapacity, kind: 1})
@@ -234,7 +236,7 @@
 		// each kind of server may run.
 		sum := 0.0
 		for _, entry := range list {
-			sum += f.maxStreams[min(entry.Kind, len(f.maxStreams)-1)]
+			sum += f.maxStreams[f.knownKind(entry.Kind)]
 		}
 		f.capacityPerStream = f.fleetLinkCapacity / max(sum, 1)
 	}
@@ -257,9 +259,9 @@
 			s.startedAt, s.ejected, s.lastHeardAt, s.link.readAt = entry.StartedAt, false, 0, 0
 		}
 		s.zone, s.cell, s.state = entry.Zone, entry.Cell, entry.State
-		s.link.nominal = f.capacityPerStream * f.maxStreams[min(entry.Kind, len(f.maxStreams)-1)]
+		s.link.nominal = f.capacityPerStream * f.maxStreams[f.knownKind(entry.Kind)]
 		s.link.capacity = max(s.link.capacity, s.link.nominal)
-		s.uplink = f.uplinks[entry.Cell%f.racks]
+		s.uplink = f.knownUplink(entry.Cell)
 	}
 	for _, s := range f.servers {
 		if full && !named[s.id] {
@@ -271,10 +273,18 @@
 	})
 }
 
-// RequestSession places a new session. Reconcile emits its SETUP or its answer, unless it waits for a probe.
+// RequestSession places a new session. Reconcile emits its SETUP or its answer, unless it waits for a probe. A request of an
+// unknown service group gets a busy reply.
 func (f *Front) RequestSession(r Request) {
 	f.messageDue = f.messagesAllowed
-	f.place(f.newSession(r))
+	g := f.knownGroup(r.Group)
+	if g == nil {
+		s := f.newSession(r, &f.groups[0])
+		s.answer = busy
+		f.changed = append(f.changed, s)
+		return
+	}
+	f.place(f.newSession(r, g))
 }
 
 // ReceiveMessage adds another front's sums of its sessions and of reported loads of links, which smooth out chance in
@@ -325,9 +335,14 @@
 	f.placeAwaitingProbe()
 }
 
-// AddHandedOver adds an established session, handed over by an earlier process or module, that server id holds.
+// AddHandedOver adds an established session, handed over by an earlier process or module, that server id holds. One of an unknown
+// service group is left alone.
 func (f *Front) AddHandedOver(r Request, id ServerID) {
-	s := f.newSession(r)
+	g := f.knownGroup(r.Group)
+	if g == nil {
+		return
+	}
+	s := f.newSession(r, g)
 	s.playing, s.setupsSent = true, 1
 	f.refilledAt = f.now // own sessions are handed over, so none have to come back
 	if sv := f.server(id); sv != nil {
@@ -336,11 +351,10 @@
 	}
 }
 
-func (f *Front) newSession(r Request) *session {
-	g := &f.groups[r.Group]
+func (f *Front) newSession(r Request, g *group) *session {
 	s := &session{id: r.ID, group: g, seat: seatKey{r.Title, r.Group}, startCell: r.StartCell, cellCount: r.CellCount,
-		bestRung: max(min(r.BestRung, g.Top, len(g.rates)-1), g.Floor), requestedAt: f.now, setupDeadline: r.SetupDeadline,
-		rung: g.Floor, wantedRung: g.Floor, rateShare: 1}
+		bestRung: max(min(g.knownRung(r.BestRung), g.top), g.floor), requestedAt: f.now, setupDeadline: r.SetupDeadline,
+		rung: g.floor, wantedRung: g.floor, rateShare: 1}
 	if r.Length > 0 {
 		s.endsAt = f.now + r.Length
 	}
@@ -382,7 +396,7 @@
 		for _, s := range l.sessions {
 			f.topRates[s.group.premium] += s.rate(s.bestRung)
 			f.rungRates[s.group.premium] += s.rate(s.wantedRung)
-			f.floorRateSum += s.rate(s.group.Floor)
+			f.floorRateSum += s.rate(s.group.floor)
 		}
 	}
 	f.topRateSum = f.topRates[0] + f.topRates[1]
@@ -391,11 +405,11 @@
 	tops := [2]float64{f.topRates[0] + f.peerSums[otherTopRates], f.topRates[1] + f.peerSums[premiumTopRates]}
 	rungs := [2]float64{f.rungRates[0] + f.peerSums[otherRungRates], f.rungRates[1] + f.peerSums[premiumRungRates]}
 	for _, g := range f.groups {
-		tops[g.premium] += g.rates[g.Top]
-		rungs[g.premium] += assumedFraction * g.rates[g.Top]
+		tops[g.premium] += g.rates[g.top]
+		rungs[g.premium] += assumedFraction * g.rates[g.top]
 	}
 	f.rungFraction = (rungs[0] + rungs[1]) / (tops[0] + tops[1])
-	f.ownDemand = f.rungFraction * (f.topRateSum + smoothingSessions*f.groups[0].rates[f.groups[0].Top])
+	f.ownDemand = f.rungFraction * (f.topRateSum + smoothingSessions*f.groups[0].rates[f.groups[0].top])
 	f.premiumShare[0], f.premiumShare[1] = tops[1]/(tops[0]+tops[1]), rungs[1]/(rungs[0]+rungs[1])
 }
 
@@ -463,12 +477,12 @@
 }
 
 // rungFor is the rung nearest to the session's top rate times target over demand, by the tighter of link and uplink.
-func (f *Front) rungFor(s *session, sv *server, added float64) int {
+func (f *Front) rungFor(s *session, sv *server, added float64) ladderRung {
 	onLink, _ := f.pressure(sv.link, sv, s, added)
 	onUplink, _ := f.pressure(sv.uplink, sv, s, added)
 	wantedRate := s.group.rates[s.bestRung] / max(onLink, onUplink, 1)
 	rung := s.bestRung
-	for i := s.bestRung - 1; i >= s.group.Floor; i-- {
+	for i := s.bestRung - 1; i >= s.group.floor; i-- {
 		if math.Abs(s.group.rates[i]-wantedRate) < math.Abs(s.group.rates[rung]-wantedRate) {
 			rung = i
 		}
@@ -502,7 +516,7 @@
 		full     bool
 	}
 	var candidates []holder
-	top, floor := s.group.rates[s.bestRung], s.group.rates[s.group.Floor]
+	top, floor := s.group.rates[s.bestRung], s.group.rates[s.group.floor]
 	for _, sv := range f.servers {
 		if (sv.cell-s.startCell+f.cells)%f.cells >= s.cellCount || sv.state != Ready {
 			continue
@@ -552,7 +566,7 @@
 	best := candidates[i].sv
 	s.rateShare = f.rateShareAt(s, best)
 	rung := f.rungFor(s, best, s.rate(s.bestRung))
-	if rung > s.group.Floor && s.rate(rung) > f.headroom(best)-reserveShare*best.link.capacity {
+	if rung > s.group.floor && s.rate(rung) > f.headroom(best)-reserveShare*best.link.capacity {
 		rung--
 	}
 	s.wantedRung, s.setupWanted = rung, true
@@ -665,17 +679,19 @@
 	}
 }
 
-// SetCurrentRung reports the rung of a session that was handed over.
+// SetCurrentRung reports the rung at which a session plays: one that was handed over, or whose server refused a change. A rung
+// that the ladder in force doesn't have counts as its nearest one.
 func (f *Front) SetCurrentRung(id SessID, rung int) {
 	if s := f.sessions[id]; s != nil {
-		s.rung, s.wantedRung = rung, rung
+		s.rung = s.group.knownRung(rung)
+		s.wantedRung = s.rung
 	}
 }
 
 // LoadNote handles a load note: the demand on a server's link, or on its rack's uplink, over the capacity.
 func (f *Front) LoadNote(id SessID, server ServerID, load float64, uplink bool) {
 	sv := f.server(server)
-	if sv == nil {
+	if sv == nil || !isLoad(load) {
 		return
 	}
 	f.markAlive(sv)
@@ -694,10 +710,10 @@
 func (f *Front) recordReport(sv *server, report LoadReport, lag float64) {
 	// A capped load near its cap may, with its noise, hide any excess: it counts only where it raises the known load.
 	known := sv.link.rungDemand(false) + f.otherDemand(sv.link)
-	if report.Link >= 0 && (!report.Capped || report.Link < 0.9 || report.Link*sv.link.capacity > known) {
+	if isLoad(report.Link) && (!report.Capped || report.Link < 0.9 || report.Link*sv.link.capacity > known) {
 		f.recordLoad(sv.link, report.Link, lag)
 	}
-	if report.Uplink >= 0 {
+	if isLoad(report.Uplink) {
 		f.recordLoad(sv.uplink, report.Uplink, lag)
 	}
 }
@@ -732,7 +748,7 @@
 // shortage is over.
 func (f *Front) ShortDelivery(server ServerID, share float64) {
 	sv := f.server(server)
-	if sv == nil || share >= 0.98 {
+	if sv == nil || !isLoad(share) || share >= 0.98 {
 		return
 	}
 	f.markAlive(sv)
@@ -859,7 +875,7 @@
 }
 
 // changeRung has Reconcile set another rung.
-func (f *Front) changeRung(s *session, rung int) {
+func (f *Front) changeRung(s *session, rung ladderRung) {
 	s.wantedRung, s.rungChangedAt = rung, f.now
 	f.changed = append(f.changed, s)
 }
@@ -881,7 +897,7 @@
 	// one follows noisy and late readings back and forth.
 	for remaining := (len(l.sessions) + 1) / 2; remaining > 0 && excess > 0; remaining-- {
 		s := l.heaviest(func(s *session) float64 {
-			below := max(s.wantedRung-1, s.group.Floor)
+			below := max(s.wantedRung-1, s.group.floor)
 			return (s.rate(s.wantedRung) - s.rate(below)) / s.group.Utility
 		})
 		if s == nil {
@@ -940,9 +956,9 @@
 // floorPressure is the rate on a link over its target if s were added and all sessions were at their lowest rungs.
 func (f *Front) floorPressure(l *link, sv *server, s *session) float64 {
 	f.sumOwnSessions()
-	sum := s.rate(s.group.Floor)
+	sum := s.rate(s.group.floor)
 	for _, o := range l.sessions {
-		sum += o.rate(o.group.Floor)
+		sum += o.rate(o.group.floor)
 	}
 	if total := f.rungRates[0] + f.rungRates[1]; total > 0 {
 		sum += f.otherDemand(l) * f.floorRateSum / total
@@ -976,7 +992,7 @@
 			continue
 		}
 		if s.wantedRung != s.rung {
-			f.actions.SetRung(s.id, s.wantedRung)
+			f.actions.SetRung(s.id, int(s.wantedRung))
 			s.rung = s.wantedRung
 		}
 		if s.setupWanted && !s.inFlight {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -439,7 +439,7 @@
 	r := testRequest(1)
 	notPreferred := func(s *server) bool { return titleHash(r.Title, s.id)%streamHolders != 0 }
 	sv := sf.front.servers[slices.IndexFunc(sf.front.servers, notPreferred)]
-	s := sf.front.newSession(r)
+	s := sf.front.newSession(r, &sf.front.groups[r.Group])
 	if p := sf.front.rateShareAt(s, sv); p != 1 {
 		t.Fatalf("first viewer adds %.1f of its rate", p)
 	}
--- a/choice/state.go
+++ b/choice/state.go
@@ -8,8 +8,9 @@
 // group is a service group with the rates of its rungs.
 type group struct {
 	ServiceGroup
-	rates   []float64 // kB a second, by rung
-	premium int       // 1 where its utility is above the lowest, else 0
+	rates      []float64 // kB a second, by rung
+	floor, top ladderRung
+	premium    int // 1 where its utility is above the lowest, else 0
 }
 
 // seatKey names what seats are counted by: the sessions of one title within one service group.
@@ -44,17 +45,18 @@
 
 // session is a session from its request to its end.
 type session struct {
-	id                             SessID
-	group                          *group
-	seat                           seatKey
-	startCell, cellCount, bestRung int
-	requestedAt, setupDeadline     float64
-	endsAt                         float64 // expected; 0 is not known
+	id                         SessID
+	group                      *group
+	seat                       seatKey
+	startCell, cellCount       int
+	bestRung                   ladderRung
+	requestedAt, setupDeadline float64
+	endsAt                     float64 // expected; 0 is not known
 
 	holder      *server
-	rateShare   float64 // share of its rate that it adds at its holder; below 1 where a stream is shared
-	rung        int     // as last set
-	wantedRung  int
+	rateShare   float64    // share of its rate that it adds at its holder; below 1 where a stream is shared
+	rung        ladderRung // as last set
+	wantedRung  ladderRung
 	setupWanted bool // Reconcile sends a SETUP to holder
 	answer      answer
 
@@ -95,7 +97,7 @@
 }
 
 // rate is what a session adds to its holder's link at a rung.
-func (s *session) rate(rung int) float64 { return s.rateShare * s.group.rates[rung] }
+func (s *session) rate(rung ladderRung) float64 { return s.rateShare * s.group.rates[rung] }
 
 // titleHash hashes a title and a server (FNV-1a); all fronts get the same number.
 func titleHash(title string, id ServerID) uint32 {
