session: a reload places waiting requests at the new floor and after the seats that are taken

Two faults found by the new TestAnyReload, which reloads any valid settings over any state of sessions.

Causes: the module reports a rung only where it differs from the floor, and the table kept the old floor; and sessions were handed to the new module by id, so that a waiting one was placed before the others' seats were counted.

--- a/choice/session/reload.go
+++ b/choice/session/reload.go
@@ -53,7 +53,15 @@
 	}
 	slices.SortFunc(removed, func(a, b choice.Listing) int { return int(int64(a.ID) - int64(b.ID)) })
 	t.module.UpdateServers(false, removed)
+	var unplaced []*session
 	for _, s := range sessions {
+		if s.awaitsPlacement() {
+			unplaced = append(unplaced, s)
+		} else {
+			t.reload(s)
+		}
+	}
+	for _, s := range unplaced { // after those that hold seats
 		t.reload(s)
 	}
 	for i := range removed {
@@ -117,6 +125,8 @@
 	t.markDirty(s)
 	switch {
 	case s.awaitsPlacement():
+		s.rung = t.groups[s.group].Floor // the module reports only what differs from it
+		s.wantRung = s.rung
 		t.module.RequestSession(s.req)
 		return
 	case !s.inModule || s.answer == Busy || s.answer == Failed || s.phase == ended:
