fleet: a front that ends by a panic is started again; only wrong use is final

Cause: exit code 2 was the program's word for wrong use of the command line, and Go's runtime ends with 2 after a panic or a fatal error. And a fleet without a front that is wanted counted as ended as told.

Now wrong use is 64 (EX_USAGE), the only final code; fleet up that ends without having been told to ends with 1 and says how each front ended.

--- a/choice/fleet/fleet.go
+++ b/choice/fleet/fleet.go
@@ -10,6 +10,8 @@
 	"fmt"
 	"math"
 	"strings"
+
+	"rainhaven/choice/lifecycle"
 )
 
 // Phase is the state of an instance.
@@ -57,9 +59,6 @@
 	stableSeconds = 60.0
 )
 
-// exitUsage is the exit code for an invalid command line, which a restart can't fix.
-const exitUsage = 2
-
 type instance struct {
 	phase      Phase
 	wanted     bool
@@ -117,7 +116,7 @@
 	case requested:
 		i.failures, i.startAt = 0, f.now
 		return
-	case code == exitUsage:
+	case code == int(lifecycle.ExitUsage): // a restart can't mend it
 		i.wanted = false
 		i.lastExit += "; it is not started again"
 		return
@@ -171,6 +170,9 @@
 	}
 }
 
+// IsShutDown reports whether Shutdown was called.
+func (f *Fleet) IsShutDown() bool { return f.shutdown }
+
 // Finished reports whether no instance is running or wanted.
 func (f *Fleet) Finished() bool {
 	for _, i := range f.instances {
--- a/choice/fleet/fleet_test.go
+++ b/choice/fleet/fleet_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"testing"
 
+	"rainhaven/choice/lifecycle"
+
 	"pgregory.net/rapid"
 )
 
@@ -191,13 +193,27 @@
 		t.Error("a front that is not wanted was started")
 	}
 	m.do(0, func() { m.f.SetWanted(0, true) })
-	m.exit(0, exitUsage)
+	m.exit(0, int(lifecycle.ExitUsage))
 	m.runFor(100)
 	if m.running[0] {
 		t.Error("a front with an invalid command line was restarted")
 	}
 }
 
+// A front that ends by a panic or a fatal error of Go's runtime, both exit code 2, or by a signal, -1, is started again. With exit
+// code 2 it was not.
+func TestOnlyWrongUsageIsFinal(t *testing.T) {
+	for _, code := range []int{2, -1, int(lifecycle.ExitFailed), int(lifecycle.ExitTimeout), int(lifecycle.ExitClean)} {
+		m := newMachine(t, Config{Fronts: 1, MaxUnavailableShare: 1, DrainSeconds: 5})
+		m.runFor(10)
+		m.exit(0, code)
+		m.runFor(1)
+		if !m.running[0] || m.f.Finished() {
+			t.Errorf("exit code %d: running %v, finished %v", code, m.running[0], m.f.Finished())
+		}
+	}
+}
+
 // For any order of failures and requests, actions fit the processes that are running. Once events stop, the fleet reaches the
 // wanted state.
 func TestRandomEvents(t *testing.T) {
--- a/choice/lifecycle/lifecycle.go
+++ b/choice/lifecycle/lifecycle.go
@@ -30,7 +30,7 @@
 // ExitCode is the exit code of the process.
 type ExitCode int
 
-// The exit codes. The command line reports its own usage errors with 2.
+// The exit codes. 2 is not among them: Go's runtime ends with it after a panic or a fatal error.
 const (
 	ExitClean              ExitCode = 0
 	ExitFailed             ExitCode = 1 // settings, files or listeners failed; the message has the details
@@ -38,6 +38,8 @@
 	ExitStateFolder        ExitCode = 4 // the state folder is missing, not writable or locked by another process
 	ExitForced             ExitCode = 5 // a second signal ended the sessions before the drain was complete
 	ExitTimeout            ExitCode = 6 // the front did not end in time
+	// ExitUsage reports wrong use of the command line, which another start can't mend. It is EX_USAGE of sysexits.h.
+	ExitUsage ExitCode = 64
 )
 
 // Actions carries out the decisions of a Machine. All methods are called from within Reconcile.
--- a/cmd/rainhaven/main.go
+++ b/cmd/rainhaven/main.go
@@ -18,13 +18,14 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"rainhaven/choice/lifecycle"
 	"rainhaven/internal/settings"
 )
 
 // Exit codes of the command line other than 0. The commands front and node have further ones of their own.
 const (
-	exitFailed = 1 // the command failed: invalid settings, a violated rule, a session that was not served
-	exitUsage  = 2 // invalid arguments or flags
+	exitFailed = 1                        // the command failed: invalid settings, a violated rule, a session that was not served
+	exitUsage  = int(lifecycle.ExitUsage) // invalid arguments or flags
 )
 
 // exitError is an error that sets the exit code. Other errors exit with exitUsage, settings.Diagnostics with exitFailed.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -72,7 +72,10 @@
 	stdin io.Closer
 }
 
-// Run supervises the fleet until it is told to shut down and all fronts have exited.
+// ErrNothingToRun is returned by Run if no front is left that is to run, although the fleet was not shut down.
+var ErrNothingToRun = errors.New("no front is left to run")
+
+// Run supervises the fleet until it is told to shut down and all fronts have exited, or until no front is left that is to run.
 func Run(o Options) error {
 	s := &supervisor{Options: o, startedAt: time.Now(), events: make(chan func(), 64), processes: make([]*process, o.Config.Fronts),
 		client: &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}}
@@ -97,9 +100,22 @@
 		o.OnListening()
 	}
 	s.loop()
+	if !s.fleet.IsShutDown() {
+		return fmt.Errorf("%w: %s", ErrNothingToRun, s.lastExits())
+	}
 	return nil
 }
 
+// lastExits describes how each front ended.
+func (s *supervisor) lastExits() string {
+	list, _ := s.fleet.Status()
+	var exits []string
+	for _, status := range list {
+		exits = append(exits, fmt.Sprintf("front %d: %s", status.Index, status.LastExit))
+	}
+	return strings.Join(exits, "; ")
+}
+
 // readInstances reads every instance's settings, reports conflicts between them before any front is started, and returns
 // their admin addresses.
 func (s *supervisor) readInstances() (admin []string, err error) {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -367,3 +368,62 @@
 		}
 	}
 }
+
+// startScripted runs a fleet of one front, a shell script that notes each start in a file.
+func startScripted(t *testing.T, script string) (starts func() int, signals chan os.Signal, done chan error) {
+	dir := t.TempDir()
+	settingsFile, program, record := filepath.Join(dir, "fleet.star"), filepath.Join(dir, "front.sh"), filepath.Join(dir, "starts")
+	text := fmt.Sprintf(`front(name = "f", listen = "127.0.0.1:0", admin = %q)
+kind(name = "large", places = 40)
+ladder(rates = [100, 200])
+group(name = "clips", start_target = 1, setup_timeout = 3)
+fleet(links = 100, uplink = 100, cells = 1, racks = 1)
+title(name = "vents", span = 1)
+box(id = 1, cell = 0, address = "127.0.0.1:1")
+`, freePorts(t, 1)[0])
+	if err := os.WriteFile(settingsFile, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(program, []byte("#!/bin/sh\necho >> "+record+"\n"+script+"\n"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	signals, done = make(chan os.Signal, 1), make(chan error, 1)
+	go func() {
+		done <- Run(Options{Executable: program, Script: settingsFile, Config: fleet.Config{Fronts: 1, MaxUnavailableShare: 1}, SocketPath: SocketPath(dir),
+			FrontLogs: os.Stderr, Log: zap.NewNop(), Signals: signals})
+	}()
+	return func() int {
+		b, _ := os.ReadFile(record)
+		return len(b)
+	}, signals, done
+}
+
+// A front that ends as after a panic is started again, and the fleet ends when it is told to. It gave the front up and ended with 0.
+func TestFrontThatPanicsIsStartedAgain(t *testing.T) {
+	starts, signals, done := startScripted(t, "exit 2")
+	for end := time.Now().Add(10 * time.Second); starts() < 3; time.Sleep(10 * time.Millisecond) {
+		select {
+		case err := <-done:
+			t.Fatalf("the fleet ended after %d starts: %v", starts(), err)
+		default:
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%d starts in 10 s", starts())
+		}
+	}
+	signals <- syscall.SIGTERM
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
+// A fleet whose front ends by wrong use of its command line ends with an error that says so. It ended as if told to.
+func TestFleetWithNothingToRun(t *testing.T) {
+	starts, _, done := startScripted(t, "exit 64")
+	if err := <-done; !errors.Is(err, ErrNothingToRun) || !strings.Contains(err.Error(), "exit 64") {
+		t.Errorf("the fleet ended with %v", err)
+	}
+	if n := starts(); n != 1 {
+		t.Errorf("%d starts", n)
+	}
+}
