daemon: an upgrade is a lease that the running process grants once

What operators saw: two upgrades at once left two processes that served the same sockets as one front, broke slow start, the retry budget and seats together, and the second set the state file aside.

Cause: the old process handed over to whoever asked next, also after it had been replaced; the new one served whatever had become of the old one; and a state file that is open elsewhere counted as damaged.

A second asker is refused at once (exit code 7).

--- a/choice/lifecycle/lifecycle.go
+++ b/choice/lifecycle/lifecycle.go
@@ -38,6 +38,7 @@
 	ExitStateFolder        ExitCode = 4 // the state folder is missing, not writable or locked by another process
 	ExitForced             ExitCode = 5 // a second signal ended the sessions before the drain was complete
 	ExitTimeout            ExitCode = 6 // the front did not end in time
+	ExitUpgradeRefused     ExitCode = 7 // the running process lets no other one take over now
 	// ExitUsage reports wrong use of the command line, which another start can't mend. It is EX_USAGE of sysexits.h.
 	ExitUsage ExitCode = 64
 )
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -21,6 +21,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"go.etcd.io/bbolt"
+	berrors "go.etcd.io/bbolt/errors"
 
 	"rainhaven/choice/restore"
 )
@@ -88,10 +89,13 @@
 		return nil, err
 	}
 	syscall.CloseOnExec(fd)
-	f := &Folder{path: filepath.Join(parent, instance), lock: os.NewFile(uintptr(fd), "lock")}
+	return &Folder{path: filepath.Join(parent, instance), lock: os.NewFile(uintptr(fd), "lock")}, nil
+}
+
+// RecordOwner writes the id of this process into the lock file, for the message to another process that finds it locked.
+func (f *Folder) RecordOwner() {
 	f.lock.Truncate(0)
 	f.lock.WriteAt(fmt.Appendln(nil, os.Getpid()), 0)
-	return f, nil
 }
 
 // DupLock returns a duplicate of the lock's descriptor, to be sent to another process.
@@ -129,6 +133,8 @@
 			return &Store{db}, snapshot, found, warning, nil
 		}
 		db.Close()
+	} else if errors.Is(err, berrors.ErrTimeout) { // another process has it open: it is not damaged
+		return nil, snapshot, false, "", err
 	} else if errors.Is(err, fs.ErrPermission) || errors.Is(err, syscall.EROFS) || errors.Is(err, syscall.ENOSPC) {
 		return nil, snapshot, false, "", err
 	}
