daemon: an upgrade hands over the seats that the old process's sessions hold

Cause: an upgrade handed over what the module had learned, but not its sessions, which hold the seats.

Now the old process sends its seats with the learned state and at each change until it ends; the new one's module counts them with its own, across reloads too. A connection that ends means that the old process's sessions have ended.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -71,6 +71,7 @@
 	uplinks       []*link             // by rack
 	sessions      map[SessID]*session // until they end
 	seatsTaken    map[seatKey]int     // SETUPs in flight and sessions held
+	foreignSeats  map[seatKey]int     // the same of another process that this front replaces
 	awaitingProbe []*session          // until the probe ends or maxProbeWait has passed
 	changed       []*session          // wanted state may differ from the present; emptied by Reconcile
 	firstSetups   []float64           // instants of first SETUPs within the retry window
@@ -505,7 +506,7 @@
 func (f *Front) place(s *session) {
 	f.changed = append(f.changed, s)
 	s.setupWanted = false
-	if f.stopped || s.group.Seats > 0 && f.seatsTaken[s.seat] >= s.group.Seats || f.now >= s.setupDeadline ||
+	if f.stopped || f.noSeatLeft(s) || f.now >= s.setupDeadline ||
 		s.setupsSent > 0 && (s.setupsSent >= f.maxSetups || s.group.Paid && s.mayHaveRun || !f.retryAllowed()) {
 		f.reject(s)
 		return
--- a/choice/session/reload.go
+++ b/choice/session/reload.go
@@ -42,6 +42,10 @@
 	t.newModule(cfg.Choice)
 	t.module.UpdateServers(true, list)
 	t.module.Restore(saved)
+	for i := range t.foreignSeats {
+		t.foreignSeats[i].Group = cfg.NewGroupIndex[t.foreignSeats[i].Group]
+	}
+	t.module.SetForeignSeats(t.foreignSeats)
 	// The new module needs the boxes that have left the list until their sessions are handed to it, as those sessions
 	// hold seats. They are listed as draining meanwhile.
 	t.UpdateBoxes(true, list)
@@ -79,6 +83,15 @@
 // Restore loads the module's saved state. It must be called after the first UpdateBoxes and before any session.
 func (t *Table) Restore(m choice.Snapshot) { t.module.Restore(m) }
 
+// SeatsTaken returns the seats that the table's sessions hold.
+func (t *Table) SeatsTaken() []choice.SeatCount { return t.module.SeatsTaken() }
+
+// SetForeignSeats replaces the counts of seats that another process's sessions hold. Their groups must be known.
+func (t *Table) SetForeignSeats(list []choice.SeatCount) {
+	t.foreignSeats = list
+	t.module.SetForeignSeats(list)
+}
+
 // BoxCounts returns the number of listed boxes, and of those that the list shows as ready for new sessions.
 func (t *Table) BoxCounts() (listed, usable int) {
 	for _, e := range t.boxes {
--- a/choice/session/session.go
+++ b/choice/session/session.go
@@ -223,7 +223,8 @@
 	moduleWakeAt float64                            // when to call the module's HandleTimer; 0 is never
 	refuseNew    bool
 	groups       []choice.ServiceGroup
-	topRung      int               // highest rung of the ladder
+	topRung      int // highest rung of the ladder
+	foreignSeats []choice.SeatCount
 	decisions    *decisionlog.Ring // the latest decisions, for Explain
 }
 
--- a/choice/state.go
+++ b/choice/state.go
@@ -279,7 +279,7 @@
 	if s == nil {
 		return state, false
 	}
-	state = SessionState{SetupsSent: s.setupsSent, SeatsTaken: s.group.Seats > 0 && f.seatsTaken[s.seat] >= s.group.Seats,
+	state = SessionState{SetupsSent: s.setupsSent, SeatsTaken: f.noSeatLeft(s),
 		RetriesSpent: !f.retryAllowed(), MayHaveRun: s.mayHaveRun}
 	for _, sv := range f.servers {
 		if (sv.cell-s.startCell+f.cells)%f.cells >= s.cellCount {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -271,6 +271,7 @@
 	}
 	if old != nil {
 		old.sendServing()
+		d.wg.Go(func() { old.followSeats(d.ctx, d.front) })
 	}
 	at := addresses[useAdmin]
 	d.Log.Info("serving", zap.String("front", t.Name), zap.String("listen", addresses[useViewers]), zap.String("tls", addresses[useTLS]),
@@ -284,11 +285,12 @@
 // takeOver takes the learned state, the state file and the lease from the running process. Until it returns nil, nothing of the folder
 // or of the sockets is changed, as the running process may resume service.
 func (d *daemon) takeOver(old *takeover) error {
-	snapshot, err := old.sendReady()
+	received, err := old.sendReady()
 	if err != nil {
 		return err
 	}
-	d.front.Restore(snapshot)
+	d.front.Restore(received.Learned)
+	d.front.SetForeignSeats(received.Seats)
 	if err := old.commit(); err != nil {
 		return err
 	}
--- a/internal/daemon/upgrade.go
+++ b/internal/daemon/upgrade.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -18,6 +19,7 @@
 	"rainhaven/choice"
 	"rainhaven/choice/lease"
 	"rainhaven/choice/lifecycle"
+	"rainhaven/internal/front"
 )
 
 // An upgrade hands a front's listening sockets to a new process of the same instance, over a unix socket in the instance's
@@ -26,10 +28,11 @@
 //	new: take 2     requests the sockets
 //	old:            JSON list with the use of each descriptor sent along: the listeners and the folder's lock; or "refused: REASON"
 //	new: ready      everything that can fail has succeeded; the old process stops accepting viewers and sending SETUPs
-//	old:            JSON snapshot of the state that its choice module has learned
+//	old:            JSON snapshot of the state that its choice module has learned, and of the seats that its sessions hold
 //	new: commit     the new process holds all that it needs, and serves nobody yet
 //	old: granted    the new process may serve; or "withdrawn", and the old process resumes service
 //	new: serving    the old process drains
+//	old:            JSON list of the seats that its sessions hold, at each change until it ends
 //
 // One process serves at any time (choice/lease). The old one serves until it receives ready. It resumes service if the new one
 // exits, fails or is late before it was granted the lease, and after that only if the new one has ended. A running old process
@@ -42,6 +45,8 @@
 	// switchTimeout limits the time between ready and serving, in which viewers wait in the accept queues. The new process has
 	// only to read a snapshot; after the timeout the old process resumes service.
 	switchTimeout = 2 * time.Second
+	// seatsInterval is the interval at which the old process looks for changes of its sessions' seats.
+	seatsInterval = 100 * time.Millisecond
 	// grantTimeout limits the new process's wait for an answer to commit. An old process that takes longer is suspended; it finds
 	// the connection closed.
 	grantTimeout = 5 * time.Second
@@ -58,6 +63,12 @@
 	refusedPrefix = "refused: "
 )
 
+// handoverState is what the old process sends of its state.
+type handoverState struct {
+	Learned choice.Snapshot
+	Seats   []front.Seats
+}
+
 // errUpgradeRefused is why a new process gives up that may not replace the running one.
 var errUpgradeRefused = errors.New("the upgrade was refused")
 
@@ -147,9 +158,35 @@
 	}
 	d.Log.Info("another process has taken over")
 	d.post(d.machine.TakenOver)
+	d.reportSeats(c)
 	return nil
 }
 
+// reportSeats sends the seats that this process's sessions hold, at each change until it exits or the new process ends.
+func (d *daemon) reportSeats(c *net.UnixConn) {
+	ticker := time.NewTicker(seatsInterval)
+	defer ticker.Stop()
+	var reported []front.Seats
+	for first := true; ; first = false {
+		seats, ok := d.front.SeatsTaken()
+		if !ok {
+			return
+		}
+		if first || !slices.Equal(seats, reported) {
+			c.SetWriteDeadline(time.Now().Add(time.Second))
+			if err := json.NewEncoder(c).Encode(seats); err != nil {
+				return
+			}
+			reported = seats
+		}
+		select {
+		case <-ticker.C:
+		case <-d.ctx.Done():
+			return
+		}
+	}
+}
+
 // sendFiles sends the descriptors of the sockets and of the folder's lock.
 func (d *daemon) sendFiles(c *net.UnixConn) error {
 	var uses []string
@@ -182,7 +219,8 @@
 
 // passLease grants the lease to the new process. It returns nil once that serves, and an error if it certainly does not.
 func (d *daemon) passLease(c *net.UnixConn, r *bufio.Reader, snapshot choice.Snapshot) error {
-	err := json.NewEncoder(c).Encode(snapshot)
+	seats, _ := d.front.SeatsTaken()
+	err := json.NewEncoder(c).Encode(handoverState{snapshot, seats})
 	if err == nil {
 		err = expectLine(r, wordCommit)
 	}
@@ -242,6 +280,7 @@
 	conn   *net.UnixConn
 	reader *bufio.Reader
 	files  map[string]*os.File // by use
+	served bool                // sendServing was called; the connection then stays open
 }
 
 // requestTakeover connects to the running process and receives its sockets and lock.
@@ -303,20 +342,22 @@
 	for _, f := range t.files {
 		f.Close()
 	}
-	t.conn.Close()
+	if !t.served {
+		t.conn.Close()
+	}
 }
 
 // sendReady has the running process stop accepting viewers, and returns its learned state.
-func (t *takeover) sendReady() (snapshot choice.Snapshot, err error) {
+func (t *takeover) sendReady() (state handoverState, err error) {
 	t.conn.SetDeadline(time.Now().Add(switchTimeout))
 	if _, err := fmt.Fprintln(t.conn, wordReady); err != nil {
-		return snapshot, err
+		return state, err
 	}
 	line, err := t.reader.ReadBytes('\n')
 	if err != nil {
-		return snapshot, err
+		return state, err
 	}
-	return snapshot, json.Unmarshal(line, &snapshot)
+	return state, json.Unmarshal(line, &state)
 }
 
 // commit asks for the lease. With nil this process may serve: it was granted the lease, or the old process has ended.
@@ -344,6 +385,25 @@
 
 // sendServing completes the upgrade: the old process drains. Without the old process there is nobody to tell.
 func (t *takeover) sendServing() {
+	t.served = true
+	t.conn.SetDeadline(time.Time{})
 	fmt.Fprintln(t.conn, wordServing)
-	t.conn.Close()
+}
+
+// followSeats passes the seats that the old process's sessions hold to the front, until the old process or the context ends.
+func (t *takeover) followSeats(ctx context.Context, f *front.Front) {
+	defer t.conn.Close()
+	defer context.AfterFunc(ctx, func() { t.conn.Close() })()
+	for {
+		var seats []front.Seats
+		line, err := t.reader.ReadBytes('\n')
+		if err == nil {
+			err = json.Unmarshal(line, &seats)
+		}
+		if err != nil {
+			f.SetForeignSeats(nil)
+			return
+		}
+		f.SetForeignSeats(seats)
+	}
 }
--- a/internal/daemon/upgrade_test.go
+++ b/internal/daemon/upgrade_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -14,6 +15,7 @@
 	"rainhaven/choice/health"
 	"rainhaven/choice/lifecycle"
 	"rainhaven/internal/lab/box"
+	"rainhaven/internal/lab/player"
 	"rainhaven/internal/state"
 )
 
@@ -208,3 +210,45 @@
 		})
 	}
 }
+
+// A new process counts the seats that the old one's sessions hold until they end. Both together held more sessions of a title than its
+// seats.
+func TestUpgradeKeepsSeats(t *testing.T) {
+	dir := t.TempDir()
+	file := filepath.Join(dir, "front.star")
+	writeConfig(t, file, fmt.Sprintf(", state = %q", dir), `group(name = "exam", start_target = 0.5, setup_timeout = 3, seats = 1)`, startBoxes(t, 1))
+	old := startFront(t, file)
+	ended := make(chan struct{})
+	playing := make(chan struct{})
+	go func() {
+		defer close(ended)
+		started := false
+		player.Watch(context.Background(), player.Options{Address: old.listen, Group: "exam", Title: "vents", SetupTimeout: 3, WatchSeconds: 3,
+			OnProgress: func(player.Result) {
+				if !started {
+					started = true
+					close(playing)
+				}
+			}})
+	}()
+	<-playing
+	next := startProcess(t, file, true)
+	requestSeat := func() int {
+		seen, _ := player.Watch(context.Background(), player.Options{Address: next.listen, Group: "exam", Title: "vents", SetupTimeout: 3, WatchSeconds: 0.1})
+		return seen.Status
+	}
+	for range 3 {
+		if status := requestSeat(); status != 503 {
+			t.Errorf("a second session of a title with one seat: status %d", status)
+		}
+	}
+	<-ended
+	for end := time.Now().Add(10 * time.Second); requestSeat() != 200; time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the seat stays taken after the old process's session has ended")
+		}
+	}
+	old.requireExit(lifecycle.ExitClean)
+	next.signals <- syscall.SIGTERM
+	next.requireExit(lifecycle.ExitClean)
+}
