node: each of several late answers to one request is torn down at its own server

A late answer that came while the request was still attempted elsewhere was ignored.

Cause: given-up SETUPs were remembered by session, one server each, and looked up only once the session was gone.

Now they are remembered by session and server, and any answer that belongs to no SETUP in flight is looked up.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -87,7 +87,7 @@
 	servers         []*server                   // in the order of the list; removed by removeServerIfGone
 	serversByNumber map[choice.ServerID]*server // removed with servers
 	serversByID     map[string]*server          // removed with servers
-	abandonedSetups map[string]*server          // SETUPs ended unanswered, by session id; removed after rememberSeconds
+	abandonedSetups map[abandonedSetup]bool     // SETUPs ended unanswered; removed after rememberSeconds
 	endedSessions   endedSessions
 	pendingReleases []*pendingRelease // at most maxPendingReleases; dropped when they expire
 	clients         []*client
@@ -168,7 +168,7 @@
 		sessions:        map[string]*session{},
 		serversByNumber: map[choice.ServerID]*server{},
 		serversByID:     map[string]*server{},
-		abandonedSetups: map[string]*server{},
+		abandonedSetups: map[abandonedSetup]bool{},
 		endedSessions:   newEndedSessions(),
 		clientSlots:     newConnSlots(share.MaxViewerConns(o.Config.MaxDescriptors, 0)),
 		counts:          map[string]int{},
--- a/internal/node/owed_test.go
+++ b/internal/node/owed_test.go
@@ -228,3 +228,27 @@
 		})
 	}
 }
+
+// Two SETUPs of one request were given up at different servers, and both answer that they set the session up: each is torn down. The
+// first was forgotten, and its session stood on.
+func TestEachOfTwoLateAnswersIsTornDown(t *testing.T) {
+	var servers [2]*fakeServer
+	h := newHarness(t, 256, func(h *harness) []*fakeServer {
+		servers = [2]*fakeServer{h.startServer("s-1"), h.startServer("s-2")}
+		return servers[:]
+	})
+	h.inspect(func(n *Node) {
+		for _, sv := range n.servers {
+			n.awaitLateAnswer(&session{clientSetup: clientSetup{id: testID(1)}, server: sv})
+		}
+		for _, sv := range n.servers {
+			n.handleLateAnswer(sv, rtsp.NewResponse(nil, rtsp.OK).WithHeader("Session", testID(1)))
+		}
+	})
+	for _, fs := range servers {
+		if x, _ := h.expectAt(rtsp.TearDown, fs); x.msg.Session() != testID(1) || parseCause(x.msg) != causeMoved {
+			t.Errorf("%s: released %+v", fs.name, x.msg.Header)
+		}
+	}
+	h.waitFor("nothing is remembered", func(n *Node) bool { return len(n.abandonedSetups) == 0 })
+}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -115,7 +115,7 @@
 	case m.Header.Get("Cseq") == cseqOptions:
 	case s != nil && s.state == attempting && s.conn == sc:
 		n.handleSetupAnswer(s, m, readAt)
-	case s == nil:
+	default: // perhaps of an earlier attempt of a session that still stands
 		n.handleLateAnswer(sv, m)
 	}
 }
@@ -136,8 +136,9 @@
 // handleLateAnswer handles the answer to a SETUP that was given up before (abandonedSetups): a session that it set up is
 // released at its server.
 func (n *Node) handleLateAnswer(sv *server, m *rtsp.Message) {
-	if m.Status == rtsp.OK && n.abandonedSetups[m.Session()] == sv {
-		delete(n.abandonedSetups, m.Session())
+	setup := abandonedSetup{m.Session(), sv}
+	if m.Status == rtsp.OK && n.abandonedSetups[setup] {
+		delete(n.abandonedSetups, setup)
 		n.tearDownAtServer(sv, mediaRoot, m.Session())
 	}
 }
--- a/internal/node/sessions.go
+++ b/internal/node/sessions.go
@@ -112,19 +112,21 @@
 	}
 }
 
+// abandonedSetup is a SETUP that ended without an answer. A session may have several, at different servers.
+type abandonedSetup struct {
+	id     string // of the session
+	server *server
+}
+
 // awaitLateAnswer remembers a SETUP that ended without an answer. If its server sets the session up after all, it is released
 // there.
 func (n *Node) awaitLateAnswer(s *session) {
 	if len(n.abandonedSetups) >= maxRemembered {
 		return
 	}
-	id, sv := s.id, s.server
-	n.abandonedSetups[id] = sv
-	n.after(rememberSeconds, func() {
-		if n.abandonedSetups[id] == sv {
-			delete(n.abandonedSetups, id)
-		}
-	})
+	setup := abandonedSetup{s.id, s.server}
+	n.abandonedSetups[setup] = true
+	n.after(rememberSeconds, func() { delete(n.abandonedSetups, setup) })
 }
 
 // setupTimedOut ends a SETUP that was not answered in time.
