daemon: state is saved before the first request

Now what the front has learned is saved once before it serves, so that the next start finds a process that did not end in order and takes the budget for used.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -242,6 +242,7 @@
 			return fail(upgradeExitCode(err, lifecycle.ExitFailed), fmt.Errorf("taking over: %w", err))
 		}
 	}
+	d.saveState() // before the first request, so that a kill in the first interval doesn't give the retry budget anew
 	addresses := map[string]string{}
 	for use, l := range open {
 		addresses[use] = l.Addr().String()
@@ -389,9 +390,14 @@
 			return
 		case <-t.C:
 		}
-		if m, ok := d.front.Snapshot(); ok {
-			d.save(restore.Snapshot{SavedAt: now(), Choice: m})
-		}
+		d.saveState()
+	}
+}
+
+// saveState saves what the front has learned.
+func (d *daemon) saveState() {
+	if m, ok := d.front.Snapshot(); ok {
+		d.save(restore.Snapshot{SavedAt: now(), Choice: m})
 	}
 }
 
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -454,3 +454,33 @@
 	}
 	p.requireExit(lifecycle.ExitClean)
 }
+
+// A front that is killed in its first second, before the first regular save, leaves a record that it ran: the next one takes the retry
+// budget for used. It got the whole budget anew.
+func TestStateIsSavedBeforeTheFirstRequest(t *testing.T) {
+	dir, copied := t.TempDir(), t.TempDir()
+	file := filepath.Join(dir, "front.star")
+	writeConfig(t, file, fmt.Sprintf(", state = %q", dir), "", startBoxes(t, 1))
+	startedAt := now()
+	p := startFront(t, file)
+	contents, err := os.ReadFile(filepath.Join(dir, "f", "state.db"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := state.Open(copied, "f")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	os.WriteFile(f.Path("state.db"), contents, 0o600)
+	s, stored, found, _, err := f.Load()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+	if !found || stored.CleanExit || stored.SavedAt < startedAt {
+		t.Errorf("found %v: saved %.1f s after the start, clean exit %v", found, stored.SavedAt-startedAt, stored.CleanExit)
+	}
+	p.signals <- syscall.SIGTERM
+	p.requireExit(lifecycle.ExitClean)
+}
