node: SETUPs queued behind a full socket are taken back when a drain is told

Cause: setServerState passed over connections that are up.

Now SETUPs in the queue are taken back at once; one that the writer holds is recalled after 0.1 s if the system has still taken none of it and no SETUP of the connection was sent, as the recall costs the connection.

--- a/choice/share/share.go
+++ b/choice/share/share.go
@@ -136,6 +136,10 @@
 	return oldest
 }
 
+// StuckWriteSeconds is the time in seconds after which a write that the system has not accepted means that the peer reads nothing. It
+// leaves the rest of the grace of a drain, 0.25 s, to take back what was not sent.
+const StuckWriteSeconds = 0.1
+
 // AssumedArrivalSeconds is the time in seconds after which a sent message that is not bound to its connection counts as
 // arrived although the connection ends. The peer may have closed just before and discarded it, so a more recent message is
 // sent again; receiving it twice has no effect.
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -135,6 +135,13 @@
 	return true
 }
 
+// isQueued reports whether the bytes from an offset on are in the queue, where the writer doesn't hold them yet.
+func (c *conn) isQueued(from int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return from >= c.queuedTotal-int64(len(c.buffer))
+}
+
 // bytesWritten returns how many bytes the system has accepted so far.
 func (c *conn) bytesWritten() int64 {
 	c.mu.Lock()
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -655,3 +655,29 @@
 	otherClient.setup(testID(1), "free", "")
 	other.expectAt(rtsp.Setup, s2)
 }
+
+// A drain is told while SETUPs wait behind a server that reads nothing: they are taken back, those in the queue at once and the one
+// that is being written shortly after. They left when the server read again.
+func TestDrainBeforeQueuedSetupsLeft(t *testing.T) {
+	h, s1 := newSingleServerHarness(t, 3) // allows one connection to the server
+	feed := h.acceptFollower()
+	a, b := net.Pipe()
+	defer b.Close()
+	sc := h.addServerConn(a)
+	for k := range 3 {
+		h.connect().sendf("%s", setupText(k, 4000))
+		h.waitFor("the SETUP is queued", func(*Node) bool { return len(sc.setups) == k+1 })
+	}
+	h.waitFor("the first is being written", func(*Node) bool { sc.mu.Lock(); defer sc.mu.Unlock(); return sc.queuedTotal > int64(len(sc.buffer)) })
+	toldAt := time.Now()
+	fmt.Fprintf(feed, "%s\n", listEvent(2, false, listEntry("s-1", s1.Addr().String(), "draining")))
+	h.waitFor("the queued SETUPs are taken back", func(*Node) bool { return len(sc.setups) <= 1 })
+	h.waitFor("the SETUP that is being written is taken back", func(n *Node) bool { return len(sc.setups) == 0 && n.openRequests == 0 })
+	if waited := time.Since(toldAt); waited > 2*time.Second {
+		t.Errorf("taken back %v later, at the SETUPs' own time limit", waited)
+	}
+	if k, err := b.Read(make([]byte, 1)); err == nil {
+		t.Errorf("%d bytes were written", k)
+	}
+	h.breakServerConn(sc) // as its reader reports
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -416,17 +416,37 @@
 	}
 }
 
-// setServerState sets a server's state. If it is no longer ready, SETUPs that wait for a connection to it end as never sent.
+// setServerState sets a server's state. If it is no longer ready, SETUPs to it of which nothing was sent end as such: those that wait
+// for a connection, and those that wait in the queue of one whose peer doesn't read.
 func (n *Node) setServerState(sv *server, state choice.Lifecycle) {
+	if sv.state == state {
+		return
+	}
 	sv.state = state
 	if state == choice.Ready {
 		return
 	}
-	for _, sc := range sv.conns {
-		if sc.up {
+	for _, sc := range slices.Clone(sv.conns) {
+		n.recallUnsentSetups(sc, false)
+	}
+	n.after(share.StuckWriteSeconds, func() {
+		if sv.state == choice.Ready {
+			return
+		}
+		for _, sc := range slices.Clone(sv.conns) {
+			n.recallUnsentSetups(sc, true)
+		}
+	})
+}
+
+// recallUnsentSetups ends the SETUPs on a connection of which nothing was sent, the last first. What the writer holds is left to it
+// unless it is stuck, as a recall costs the connection; and as long as a SETUP on the connection has been sent, whose answer counts.
+func (n *Node) recallUnsentSetups(sc *serverConn, stuck bool) {
+	for _, s := range slices.Backward(slices.Clone(sc.setups)) {
+		if sc.up && !sc.isQueued(s.setupStart) && !(stuck && sc.setups[0].setupStart >= sc.bytesWritten()) {
 			continue
 		}
-		for _, s := range slices.Clone(sc.setups) {
+		if n.recallSetup(s) {
 			n.setupEnded(s, choice.Unsent, noReport)
 		}
 	}
