node: a server's start that is told late ends only the earlier process's sessions

Cause: what stood before the start was told apart by an age estimated from another machine's clock and cut at 10 s.

Now a session stays if it was set up over a connection that is open and was opened after the server last ended or refused one, which only the new process can have accepted. As a connection may be dead without a word, it is asked for a sign of life; if it ends before one, its sessions end as lost.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,6 +54,7 @@
 	answerEnd            int64          // byte offset at which the answer ends on the client's connection
 	resends              int            // how often its SETUP moved to a new connection, before any byte of it was sent
 	establishedAt        float64        // when it was answered, or handed over to this node
+	setUpOn              *serverConn    // the connection that brought the answer; nil if it was handed over
 	earlyRelease         *serverRelease // its server's release, if that arrived before the answer
 	localRetries         int            // how often this machine had no connection for its SETUP
 	history              history
@@ -405,17 +406,6 @@
 	}
 }
 
-// endSessionsBeforeRestart ends a server's sessions that were established before its process started: the new process does
-// not know them. The server's connections may already belong to the new process, so no broken connection reports the loss.
-// A session of the same instant was answered earlier in this turn of the loop than the start was reported, so it counts too.
-func (n *Node) endSessionsBeforeRestart(sv *server, startedAt float64) {
-	for _, s := range slices.Clone(sv.sessions) {
-		if s.establishedAt <= startedAt {
-			n.endSession(s, choice.Reset, causeLost, noReport)
-		}
-	}
-}
-
 // setServerState sets a server's state. If it is no longer ready, SETUPs to it of which nothing was sent end as such: those that wait
 // for a connection, and those that wait in the queue of one whose peer doesn't read.
 func (n *Node) setServerState(sv *server, state choice.Lifecycle) {
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -24,6 +24,7 @@
 	listedStartMs   float64       // its start as last listed, in Unix milliseconds; 0 is long ago
 	startedAt       float64       // the start that it counts from, on the node's clock; 0 is long ago
 	conns           []*serverConn // removed as they end
+	brokeAt         float64       // when it last ended or refused a connection; 0 is never
 	sessions        []*session    // established there; removed as they end
 	liveness        liveness.Monitor
 	probeID         string           // session id of the probe in flight; empty is none
@@ -39,7 +40,9 @@
 	server       *server
 	up           bool
 	closed       bool
+	openedAt     float64
 	closedAt     float64 // when it ended, or this node began to close it
+	awaitsProof  bool    // sessions were kept for it at a restart of its server, and nothing was heard on it since
 	lastUsed     float64
 	setups       []*session // in flight on it, or waiting for it to open; removed by their outcomes
 	probePending bool       // a probe waits for it to open
@@ -82,7 +85,7 @@
 	n.traceReceived(sc.conn, m)
 	sv := sc.server
 	sv.liveness.Heard(n.now)
-	sc.lastHeard = n.now
+	sc.lastHeard, sc.awaitsProof = n.now, false
 	id := m.Session()
 	s := n.sessions[id]
 	if s != nil && s.server != sv {
--- a/internal/node/serverconn.go
+++ b/internal/node/serverconn.go
@@ -168,6 +168,7 @@
 		n.dialFailedLocally(sc)
 		return
 	}
+	sv.brokeAt = n.now
 	n.failProbe(sc, choice.NoConnection)
 	for _, s := range slices.Clone(sc.setups) {
 		n.setupEnded(s, choice.NoConnection, noReport)
@@ -208,7 +209,7 @@
 		return
 	}
 	// An accepted connection is no sign of life: the system accepts it on behalf of a process that hangs.
-	sc.up, sc.lastUsed, sc.lastHeard = true, n.now, n.now
+	sc.up, sc.openedAt, sc.lastUsed, sc.lastHeard = true, n.now, n.now, n.now
 	if sc.probePending {
 		sc.probePending = false
 		n.sendProbe(sc)
@@ -237,6 +238,8 @@
 		return
 	}
 	n.removeServerConn(sc)
+	sc.server.brokeAt = n.now
+	n.endUnprovenSessions(sc)
 	n.log.Debug("server connection closed", str("server", sc.server.id), str("why", errText(err)), num("open", len(sc.setups)))
 	n.failProbe(sc, choice.Reset)
 	for _, s := range slices.Clone(sc.setups) {
@@ -272,6 +275,7 @@
 		return
 	}
 	n.removeServerConn(sc)
+	n.endUnprovenSessions(sc)
 	if sc.up {
 		sc.closeGracefully()
 	} else {
--- a/internal/node/sessions.go
+++ b/internal/node/sessions.go
@@ -198,6 +198,7 @@
 
 // establishSession handles a server's 200 and passes its description on to the client.
 func (n *Node) establishSession(s *session, m *rtsp.Message) {
+	s.setUpOn = s.conn
 	n.detachSetup(s)
 	n.cancelTimeout(s.setupTimer)
 	s.setupTimer, s.state, s.establishedAt = nil, established, n.now
