soak: a run that is not clean keeps its command, records and logs and prints where

Now rainhaven soak keeps the folder of an unclean run, with command.txt, report.txt and records.txt beside the nodes' logs.

--- a/cmd/rainhaven/soak.go
+++ b/cmd/rainhaven/soak.go
@@ -28,7 +28,8 @@
 the seed determines: processes killed and restarted, configurations reloaded, servers that crash, drain, hang, return
 errors, and lose or corrupt answers, connections reset, discovery down, wall clocks with an offset, system calls that fail.
 The exit status is 1 if an invariant was violated; each violation is reported with the trace of its request. With
---sabotage the nodes break a rule on purpose, and the exit status must be 1.`,
+--sabotage the nodes break a rule on purpose, and the exit status must be 1. A soak that is not clean keeps its command, its
+records and the nodes' logs, and prints the folder.`,
 		RunE: func(c *cobra.Command, _ []string) error {
 			var err error
 			if dense {
@@ -47,7 +48,6 @@
 				if o.Folder, err = os.MkdirTemp("", "rainhaven-soak-"); err != nil {
 					return exitError{exitFailed, err}
 				}
-				defer os.RemoveAll(o.Folder)
 			} else if err := os.MkdirAll(folder, 0o700); err != nil {
 				return exitError{exitFailed, err}
 			}
@@ -56,11 +56,17 @@
 			}
 			r, err := soak.Run(c.Context(), o)
 			if err != nil {
-				return exitError{exitFailed, err}
+				return exitError{exitFailed, fmt.Errorf("%w; logs are in %s", err, o.Folder)}
 			}
 			r.Write(c.OutOrStdout())
 			if !r.OK() {
-				return failf("invariants were violated %d times", len(r.Violations))
+				if err := r.Keep(o.Folder, os.Args); err != nil {
+					fmt.Fprintln(os.Stderr, "soak: evidence is incomplete:", err)
+				}
+				return failf("invariants were violated %d times; command, records and logs are in %s", len(r.Violations), o.Folder)
+			}
+			if folder == "" {
+				os.RemoveAll(o.Folder)
 			}
 			return nil
 		}}
