front: a reload looks at viewers' bandwidths again

Now the front keeps the bandwidth and computes the rung of the new ladder; a session that was handed over, whose bandwidth is not known, keeps its number.

Measured: TestReloadLooksAtBandwidthsAgain fails before (highest rung 2, want 3), passes after.

--- a/choice/session/reload.go
+++ b/choice/session/reload.go
@@ -11,6 +11,8 @@
 	Choice        choice.Config
 	Limits        Limits
 	NewGroupIndex []int // new index of each service group by its old one; complete
+	// BestRungs are the highest rungs of the new ladder that viewers' bandwidths allow. A session without an entry keeps its own.
+	BestRungs map[choice.SessID]int
 }
 
 // Reload applies new settings. It replaces the module by a new one, restored from the saved state of the old one after
@@ -31,6 +33,9 @@
 	resubmitted := 0
 	for _, s := range sessions {
 		s.group = cfg.NewGroupIndex[s.group]
+		if best, known := cfg.BestRungs[s.id]; known {
+			s.req.BestRung = best
+		}
 		if s.req.Group = s.group; s.awaitsPlacement() {
 			resubmitted++
 		}
--- a/choice/session/reload_test.go
+++ b/choice/session/reload_test.go
@@ -46,7 +46,7 @@
 	h.config = config
 	h.paidSeats = config.Groups[h.paidGroup()].Seats
 	h.apply(func() {
-		h.table.Reload(Config{config, limits, newIndex}, h.listedBoxes(), func(m choice.Snapshot) choice.Snapshot { return m })
+		h.table.Reload(Config{Choice: config, Limits: limits, NewGroupIndex: newIndex}, h.listedBoxes(), func(m choice.Snapshot) choice.Snapshot { return m })
 	})
 	for id, v := range h.viewers {
 		if v.ended != ended[id] {
--- a/choice/session/session_test.go
+++ b/choice/session/session_test.go
@@ -229,7 +229,7 @@
 	}
 	h.config, h.paidSeats = config, config.Groups[0].Seats
 	h.apply(func() {
-		h.table.Reload(Config{config, limits, []int{0, 1}}, h.listedBoxes(), func(m choice.Snapshot) choice.Snapshot { return m })
+		h.table.Reload(Config{Choice: config, Limits: limits, NewGroupIndex: []int{0, 1}}, h.listedBoxes(), func(m choice.Snapshot) choice.Snapshot { return m })
 	})
 	for _, s := range h.table.sessions {
 		if floor := config.Groups[s.group].Floor; s.phase >= ready && s.phase <= paused && s.wantRung < floor {
@@ -488,7 +488,7 @@
 	config.BaseRetries, config.RetriesPerSession, config.Probes = 2, 0, false
 	reload := func() {
 		h.apply(func() {
-			h.table.Reload(Config{config, limits, []int{0, 1}}, fourBoxes(), func(m choice.Snapshot) choice.Snapshot { return m })
+			h.table.Reload(Config{Choice: config, Limits: limits, NewGroupIndex: []int{0, 1}}, fourBoxes(), func(m choice.Snapshot) choice.Snapshot { return m })
 		})
 	}
 	reload()
@@ -542,7 +542,7 @@
 			h.table.SetupSent(id, 1)
 			a.inFlight, v.mayHaveRun = false, status == 500
 			h.table.BoxAnswered(id, 1, status, choice.LoadReport{Link: -1, Uplink: -1})
-			h.table.Reload(Config{config, limits, []int{0, 1}}, fourBoxes(), func(m choice.Snapshot) choice.Snapshot { return m })
+			h.table.Reload(Config{Choice: config, Limits: limits, NewGroupIndex: []int{0, 1}}, fourBoxes(), func(m choice.Snapshot) choice.Snapshot { return m })
 		})
 		if got := append(v.answers, 0); got[0] != want {
 			t.Errorf("status %d and a reload in one batch: answers %v after %d SETUPs", status, v.answers, len(v.attempts))
@@ -733,7 +733,7 @@
 			h.table.AddHandedOver(id, Request{Group: 1, Title: "vents", StartCell: i % 300, CellCount: 4, BestRung: 3}, choice.ServerID(100+i%300), 1)
 		})
 	}
-	return h, Config{config, limits, []int{0, 1}}, list
+	return h, Config{Choice: config, Limits: limits, NewGroupIndex: []int{0, 1}}, list
 }
 
 // BenchmarkReload measures how long a reload blocks the event loop.
--- a/internal/front/handover.go
+++ b/internal/front/handover.go
@@ -66,7 +66,7 @@
 		return
 	}
 	sess := &frontSession{id: h.ID, group: g, bestRung: h.BestRung, place: rtsp.Resource{Group: h.Group, Title: h.Title, Track: -1, Query: h.Query},
-		attempt: 1, pendingOps: map[int]*pendingRequest{}, adopting: true}
+		bandwidth: -1, attempt: 1, pendingOps: map[int]*pendingRequest{}, adopting: true}
 	for _, t := range h.Tracks {
 		sess.tracks = append(sess.tracks, track{t.Number, t.RTPChannel, t.RTCPChannel, t.BoxChannel})
 	}
--- a/internal/front/reload.go
+++ b/internal/front/reload.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"rainhaven/choice"
 	"rainhaven/choice/auth"
 	"rainhaven/choice/delivery"
 	"rainhaven/choice/reload"
@@ -57,11 +58,16 @@
 	f.descriptions.SetCells(config.Choice.Cells)
 	switch {
 	case p.Has(reload.RebuildChoice):
-		for _, sess := range f.sessions {
+		bestRungs := map[choice.SessID]int{}
+		for id, sess := range f.sessions {
 			sess.group = p.NewGroupIndex[sess.group]
+			if sess.bandwidth >= 0 {
+				sess.bestRung = session.BestRung(config.Groups[sess.group].Rates, sess.bandwidth)
+				bestRungs[id] = sess.bestRung
+			}
 		}
 		list := f.storeBoxes(true, config.Boxes)
-		f.table.Reload(session.Config{Choice: config.Choice, Limits: f.sessionLimits(), NewGroupIndex: p.NewGroupIndex}, list, p.DiscardStale)
+		f.table.Reload(session.Config{Choice: config.Choice, Limits: f.sessionLimits(), NewGroupIndex: p.NewGroupIndex, BestRungs: bestRungs}, list, p.DiscardStale)
 	default:
 		if p.Has(reload.UpdateLimits) {
 			f.table.SetLimits(f.sessionLimits())
--- a/internal/front/reload_test.go
+++ b/internal/front/reload_test.go
@@ -4,11 +4,14 @@
 	"context"
 	"slices"
 	"testing"
+	"time"
 
+	"rainhaven/choice"
 	"rainhaven/choice/reload"
 	"rainhaven/internal/front"
 	"rainhaven/internal/lab/box"
 	"rainhaven/internal/lab/player"
+	"rainhaven/internal/rtsp"
 	"rainhaven/internal/settings"
 )
 
@@ -116,3 +119,49 @@
 		t.Errorf("reload of a closed front: %v", err)
 	}
 }
+
+// A reload with another ladder looks at viewers' bandwidths again: one without a limit gets the new top rung, another one no rung beyond
+// its own. Both kept the number of their highest rung.
+func TestReloadLooksAtBandwidthsAgain(t *testing.T) {
+	b := newHarness(t, 1, keepSessions)
+	want := map[choice.SessID]int{}
+	for i, c := range []struct {
+		bandwidth string
+		best      int
+	}{{"", 5}, {"9000000", 3}} {
+		conn := b.dial()
+		setup := b.setup("1", "")
+		if c.bandwidth != "" {
+			setup.WithHeader("Bandwidth", c.bandwidth)
+		}
+		r, err := conn.RoundTrip(setup, 5*time.Second, nil)
+		if err != nil || r.Status != 200 {
+			t.Fatal(i, r, err)
+		}
+		id := r.Session()
+		play := rtsp.NewRequest(rtsp.Play, "rtsp://"+b.addr+"/clips/vents").WithHeader("CSeq", "2").WithHeader("Session", id)
+		if r, err = conn.RoundTrip(play, 5*time.Second, nil); err != nil || r.Status != 200 {
+			t.Fatal(i, r, err)
+		}
+		want[choice.SessID(id)] = c.best
+	}
+	config := b.config
+	config.Choice.Ladder = []float64{250, 500, 700, 1000, 2000, 4000}
+	config.Choice.Groups = slices.Clone(config.Choice.Groups)
+	config.Groups = slices.Clone(config.Groups)
+	for i := range config.Groups {
+		config.Choice.Groups[i].Top, config.Groups[i].Rates = 5, config.Choice.Ladder
+	}
+	if plan, err := b.Reload(config); err != nil || !plan.Has(reload.RebuildChoice) {
+		t.Fatalf("%+v %v", plan, err)
+	}
+	for _, h := range b.HandOver() {
+		if h.BestRung != want[h.ID] {
+			t.Errorf("highest rung %d, want %d", h.BestRung, want[h.ID])
+		}
+		delete(want, h.ID)
+	}
+	if len(want) > 0 {
+		t.Errorf("%d sessions were not handed over", len(want))
+	}
+}
--- a/internal/front/viewer.go
+++ b/internal/front/viewer.go
@@ -55,7 +55,8 @@
 	id          choice.SessID
 	viewer      *viewer // nil for a handed over session until it is claimed
 	group       int
-	bestRung    int // highest rung the viewer's bandwidth allows
+	bandwidth   float64 // bits per second that the viewer declared; 0 if none, negative if it is not known here
+	bestRung    int     // highest rung the viewer's bandwidth allows
 	place       rtsp.Resource
 	tracks      []track
 	stream      *relay.Stream           // nil as long as viewer is nil
@@ -456,7 +457,7 @@
 	if !(bandwidth >= 0) || math.IsInf(bandwidth, 0) {
 		bandwidth = 0
 	}
-	sess.bestRung = session.BestRung(f.config().Groups[group].Rates, bandwidth)
+	sess.bandwidth, sess.bestRung = bandwidth, session.BestRung(f.config().Groups[group].Rates, bandwidth)
 	f.metrics.sessionRequests.WithLabelValues(f.config().Groups[group].Name).Inc()
 	f.table.Open(sess.id, session.Request{Group: group, Title: place.Title, StartCell: title.StartCell, CellCount: title.CellCount,
 		BestRung: sess.bestRung, Length: title.Length})
