soak: the first node's connections are not replaced

Races with idle closes take seconds each and were cut short by replacements on every node. Now node 0 is left out of those.

--- a/internal/lab/soak/replace.go
+++ b/internal/lab/soak/replace.go
@@ -66,10 +66,12 @@
 }
 
 // replaceableClients returns the clients of the first node, counted from a drawn one, that accepts connections and is not quiet
-// already; nil if there is none.
+// already; nil if there is none. Node 0 is left out, so that the races with closes of its idle connections (closerace.go), which take
+// seconds each, are not cut short.
 func (s *soak) replaceableClients(start int) *clients {
-	for i := range s.clients {
-		c := s.clients[(start+i)%len(s.clients)]
+	candidates := s.clients[1:]
+	for i := range candidates {
+		c := candidates[(start+i)%len(candidates)]
 		if c.node.acceptsConns() && !c.isQuiet() {
 			return c
 		}
