--- a/review/standin2/crowd/main.go
+++ b/review/standin2/crowd/main.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -19,11 +20,13 @@
 const (
 	boxes   = 20
 	players = 60
-	reports = 250 * time.Millisecond // between a player's receiver reports; up to 50 a second are passed on
-	crowd   = 2000                   // viewers; a front takes 5,000 connections where its settings say nothing
-	lasts   = 75 * time.Second
-	timeout = 3 * time.Second  // setup_timeout
-	silence = 10 * time.Second // for so long no request at all is answered: the rule is broken for all that wait
+	reports = 100 * time.Millisecond // between a player's receiver reports; up to 50 a second are passed on
+	crowd   = 3000                   // viewers; a front takes 5,000 connections where its settings say nothing
+	// With POLITE=1 there are more, who wait as long as the answer's Retry-After says.
+	politeCrowd = 4000
+	lasts       = 75 * time.Second
+	timeout     = 3 * time.Second  // setup_timeout
+	silence     = 10 * time.Second // for so long no request at all is answered: the rule is broken for all that wait
 )
 
 func main() { kit.Run(play) }
@@ -91,7 +94,11 @@
 	c.Logf("%d sessions play", len(playing))
 	var asked, answered, gone atomic.Int64
 	viewers := 0
-	if c.Trouble {
+	polite := os.Getenv("POLITE") == "1"
+	switch {
+	case c.Trouble && polite:
+		viewers = politeCrowd
+	case c.Trouble:
 		viewers = crowd
 	}
 	for range viewers {
@@ -111,6 +118,10 @@
 				}
 				answered.Add(1)
 				if r.Status != rtsp.OK {
+					if polite {
+						wait, _ := strconv.Atoi(r.Header.Get("Retry-After"))
+						time.Sleep(time.Duration(wait) * time.Second)
+					}
 					continue
 				}
 				k++
--- a/review/standin2/kit/kit.go
+++ b/review/standin2/kit/kit.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -191,14 +192,16 @@
 	return nil
 }
 
-// FreeAddress returns a loopback address with a free port.
+// FreeAddress returns a loopback address with a free port, below those that the system gives to connections.
 func FreeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range 100 {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 10000+rand.IntN(20000)))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String(), nil
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", errors.New("no port is free")
 }
 
 // AwaitReady waits until a front's health says that viewers should come.
