--- a/review/standin2/kit/kit.go
+++ b/review/standin2/kit/kit.go
@@ -12,7 +12,6 @@
 	"os"
 	"os/exec"
 	"os/signal"
-	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -43,15 +42,15 @@
 	ending sync.Once
 }
 
-// Run runs a case, writes its record into the folder named by the first argument, and exits.
+// Run runs a case, writes its record into the file named by the first argument, and exits.
 func Run(play func(c *Case) error) {
 	if len(os.Args) != 2 {
-		fmt.Fprintln(os.Stderr, "usage: CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: CASE RECORD")
 		os.Exit(failed)
 	}
 	c := &Case{Trouble: os.Getenv("TROUBLE") != "0", start: time.Now()}
 	var err error
-	if c.record, err = os.Create(filepath.Join(os.Args[1], "record.txt")); err == nil {
+	if c.record, err = os.Create(os.Args[1]); err == nil {
 		c.Tmp, err = os.MkdirTemp("", "review")
 	}
 	if err != nil {
