node: sessions of a server that is gone end when another one has its address

Cause: a message on any connection counted as the server's sign of life, and a connection is opened to an address, not to a process. The record shows the node's tests of the old server answered by the new one. When the list told both, nothing compared their addresses.

Change: each session of a gone server whose address another one has must be shown to stand by its own connection, which answers a probe within liveness.ProofTimeout (1.5 s); the others are released and torn down at once. The proof after a restart has the same limit; it had none.

--- a/choice/liveness/liveness.go
+++ b/choice/liveness/liveness.go
@@ -15,6 +15,10 @@
 	// sessions that can't be released must end within 8 s. Drawback: after a stall of that length all sessions of the server
 	// have to be set up again.
 	lostAfterSeconds = 7.0
+	// ProofTimeout is the time in seconds in which a connection has to show that the process at its other end runs, once the list
+	// has put another process in its place. A change is told up to 6 s after the end of a process, whose sessions are to be
+	// released within 8 s.
+	ProofTimeout = 1.5
 	// dialIntervalSeconds separates attempts to connect.
 	dialIntervalSeconds = 0.25
 )
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -401,6 +401,7 @@
 			}
 		}
 	}
+	n.checkAddresses()
 	for _, sv := range slices.Clone(n.servers) {
 		n.removeServerIfGone(sv)
 	}
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -118,8 +118,7 @@
 func (n *Node) serverLost(sv *server) {
 	n.log.Info("sessions lost with their server", str("server", sv.id), num("sessions", len(sv.sessions)))
 	for _, s := range slices.Clone(sv.sessions) {
-		n.trySendToServer(sv, sessionMessage{id: s.id, data: teardownMessage(s.url, s.id, causeLost)})
-		n.endSession(s, choice.Reset, causeLost, noReport)
+		n.loseSession(s)
 	}
 	for _, sc := range slices.Clone(sv.conns) {
 		if len(sc.setups) == 0 {
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -25,6 +25,7 @@
 	startedAt       float64       // the start that it counts from, on the node's clock; 0 is long ago
 	conns           []*serverConn // removed as they end
 	brokeAt         float64       // when it last ended or refused a connection; 0 is never
+	addressTaken    bool          // it is gone from the list, and another server was listed at its address since
 	sessions        []*session    // established there; removed as they end
 	liveness        liveness.Monitor
 	probeID         string           // session id of the probe in flight; empty is none
@@ -88,7 +89,7 @@
 	sc.lastHeard, sc.awaitsProof = n.now, false
 	id := m.Session()
 	s := n.sessions[id]
-	if s != nil && s.server != sv {
+	if s != nil && s.server != sv && !s.server.isSucceededBy(sv) {
 		s = nil
 	}
 	if sc.closed {
--- a/internal/node/standin_test.go
+++ b/internal/node/standin_test.go
@@ -183,13 +183,16 @@
 	return fs
 }
 
-// firstConn returns the first connection that the fake server accepted, once there is one: the node may see the connection open
-// before it is accepted.
-func (fs *fakeServer) firstConn() (p *peer) {
+// firstConn is connAt for the first connection.
+func (fs *fakeServer) firstConn() (p *peer) { return fs.connAt(0) }
+
+// connAt returns the connection that the fake server accepted after so many others, once there is one: the node may see the connection
+// open before it is accepted. It is nil if none came in time.
+func (fs *fakeServer) connAt(index int) (p *peer) {
 	for end := time.Now().Add(testTimeout); p == nil && time.Now().Before(end); time.Sleep(100 * time.Microsecond) {
 		fs.mu.Lock()
-		if len(fs.conns) > 0 {
-			p = fs.conns[0]
+		if len(fs.conns) > index {
+			p = fs.conns[index]
 		}
 		fs.mu.Unlock()
 	}
--- a/internal/node/started.go
+++ b/internal/node/started.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"rainhaven/choice"
+	"rainhaven/choice/liveness"
 	"rainhaven/choice/slowstart"
 )
 
@@ -54,7 +55,7 @@
 	return sc != nil && sc.up && !sc.closed && sc.server.brokeAt > 0 && sc.openedAt > sc.server.brokeAt
 }
 
-// requestProof has a server show that its present process is the one at the other end of a connection.
+// requestProof has a server show within liveness.ProofTimeout that its present process is the one at the other end of a connection.
 func (n *Node) requestProof(sc *serverConn) {
 	if sc.awaitsProof {
 		return
@@ -62,6 +63,20 @@
 	sc.awaitsProof = true
 	n.probeCount++
 	sc.send(probeMessage(probeSessionID(n.config.Choice.Seed, n.probeCount)))
+	n.after(liveness.ProofTimeout, func() { n.proofTimedOut(sc) })
+}
+
+// proofTimedOut ends the sessions of a connection that stays silent, and retires it.
+func (n *Node) proofTimedOut(sc *serverConn) {
+	if sc.closed || !sc.awaitsProof {
+		return
+	}
+	n.endUnprovenSessions(sc)
+	sc.awaitsProof = false
+	if len(sc.setups) == 0 {
+		n.closeServerConn(sc)
+	}
+	n.removeServerIfGone(sc.server)
 }
 
 // endUnprovenSessions ends the sessions that were kept for a connection that now ends without proof: its process was the earlier one.
