node: a server listed at another address gets its SETUPs there

Callers saw: after an event with another address for a server's id, new sessions went on to the old address over open connections.

Cause: updateServers replaced the entry's address only; connections, tests and sessions stayed with the entry, and the address is read by a new dial alone.

Change: another address makes another server of the same id and number.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -373,6 +373,9 @@
 			continue
 		}
 		entry = n.trials.alterListing(entry)
+		if entry.State != choice.Gone && instance.Addr != "" && instance.Addr != sv.addr {
+			sv = n.moveServer(sv, instance.Addr)
+		}
 		restarted := sv.setListedStart(instance.StartedAtMs)
 		if restarted {
 			sv.startedAt = n.effectiveStart(instance.StartedAtMs)
@@ -384,9 +387,6 @@
 			n.serversByID[sv.id] = sv
 		}
 		listed[sv] = true
-		if instance.Addr != "" && entry.State != choice.Gone {
-			sv.addr = instance.Addr
-		}
 		if restarted {
 			n.endSessionsBeforeRestart(sv, n.now-n.secondsSinceStart(instance.StartedAtMs))
 		}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -265,9 +265,12 @@
 			n.closeServerConn(sc)
 		}
 	}
-	if len(sv.conns) == 0 && n.serversByNumber[sv.number] == sv {
+	if len(sv.conns) > 0 {
+		return
+	}
+	n.servers = slices.DeleteFunc(n.servers, func(o *server) bool { return o == sv })
+	if n.serversByNumber[sv.number] == sv { // not taken over by its next address
 		delete(n.serversByNumber, sv.number)
 		delete(n.serversByID, sv.id)
-		n.servers = slices.DeleteFunc(n.servers, func(o *server) bool { return o == sv })
 	}
 }
--- a/internal/node/succession.go
+++ b/internal/node/succession.go
@@ -6,9 +6,22 @@
 	"rainhaven/choice"
 )
 
-// An address is not the identity of a process: the address of a server that has gone may belong to a new one. Whatever answers at an address proves nothing about sessions that an earlier process set
+// An address is not the identity of a process: the address of a server that has gone may belong to a new one, and a server may be
+// listed at another address than before. Whatever answers at an address proves nothing about sessions that an earlier process set
 // up. The functions of this file separate the two when the list reports the change.
 
+// moveServer returns a server of the same id at another address, which takes the place of the known one in the list. The known one
+// then counts as gone: it gets no SETUP, its connections are not reused, and it is not dialled.
+func (n *Node) moveServer(known *server, addr string) *server {
+	moved := &server{id: known.id, number: known.number, addr: addr, state: known.state, listedStartMs: known.listedStartMs, startedAt: known.startedAt}
+	n.servers[slices.Index(n.servers, known)] = moved
+	n.servers = append(n.servers, known)
+	n.serversByNumber[moved.number], n.serversByID[moved.id] = moved, moved
+	n.setServerState(known, choice.Gone)
+	n.verifySessions(known)
+	return moved
+}
+
 // checkAddresses finds the servers that are gone from the list and whose address another server has now, and verifies their sessions.
 func (n *Node) checkAddresses() {
 	listed := map[string]bool{}
--- a/internal/node/succession_test.go
+++ b/internal/node/succession_test.go
@@ -67,3 +67,26 @@
 		t.Errorf("released %+v", r.Header)
 	}
 }
+
+// A server is listed at another address: new SETUPs go there, although a connection to the old address is open, and the session of the
+// process at the old address stays as long as that process answers.
+func TestServerListedAtAnotherAddress(t *testing.T) {
+	var other *fakeServer
+	var s1 *fakeServer
+	h := newHarness(t, 256, func(h *harness) []*fakeServer {
+		s1, other = h.startServer("s-1"), h.startServer("s-1 at its next address")
+		return []*fakeServer{s1}
+	})
+	feed := h.acceptFollower()
+	cl := h.connect()
+	old := h.established(s1, cl, testID(1))
+	fmt.Fprintf(feed, "%s\n", listEvent(2, false, listEntry("s-1", other.Addr().String(), "up")))
+	h.waitFor("the change is known", func(n *Node) bool { return n.serversByID["s-1"].addr == other.Addr().String() })
+	h.established(other, cl, testID(2))
+	h.waitFor("both sessions stand", func(n *Node) bool { return n.sessions[testID(1)] != nil && n.sessions[testID(2)] != nil })
+	old.tearDown(testID(1), causeFinished)
+	if r := cl.expectWithin(releaseLimit, rtsp.TearDown); parseCause(r) != causeFinished || r.Session() != testID(1) {
+		t.Errorf("released %+v", r.Header)
+	}
+	h.waitFor("the old address is forgotten", func(n *Node) bool { return len(n.servers) == 1 && n.serversByID["s-1"] == n.servers[0] })
+}
