front: a SETUP of a track that its session has is refused with 455

Cause: tracks were found by their number in a list that held an entry for each SETUP; one refusal deleted all entries of the number, and the next SETUP to be sent took the last entry of an empty list.

Change: the repeated SETUP gets 455 (RFC 2326, section 10.4). A pending SETUP holds its own track; answers and refusals concern that one. The box's channels are the lowest free pair instead of a count.

--- a/internal/front/boxes.go
+++ b/internal/front/boxes.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net"
-	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -219,12 +218,15 @@
 	}
 }
 
+// noReport is a load report that states no load.
+var noReport = choice.LoadReport{Link: -1, Uplink: -1}
+
 // parseLoadReport parses a Load-Report header: an RFC 8941 dictionary with the members link and uplink. Missing or invalid
 // values become -1.
 func parseLoadReport(m *rtsp.Message) choice.LoadReport {
 	d, err := httpsfv.UnmarshalDictionary(m.Header["Load-Report"])
 	if err != nil {
-		return choice.LoadReport{Link: -1, Uplink: -1}
+		return noReport
 	}
 	member := func(name string) (x float64, capped bool) {
 		v, ok := d.Get(name)
@@ -362,7 +364,12 @@
 	case session.Pause:
 		m = rtsp.NewRequest(rtsp.Pause, c.url(sess, -1))
 	case session.Join:
-		t := sess.pendingTrack(arg)
+		pr := sess.pendingOps[arg]
+		if pr == nil { // nobody waits for it any more
+			f.deferred = append(f.deferred, func() { f.table.OpAnswered(id, attempt, op, arg, rtsp.NotValidInThisState, noReport) })
+			return
+		}
+		t := pr.track
 		m = rtsp.NewRequest(rtsp.Setup, c.url(sess, t.number)).WithHeader("Transport", rtsp.Transport{RTPChannel: t.boxChannel, RTCPChannel: t.boxChannel + 1}.String())
 	case session.KeepAlive:
 		m = rtsp.NewRequest(rtsp.GetParameter, c.url(sess, -1))
@@ -392,21 +399,6 @@
 	})
 }
 
-// pendingTrack returns the track that a pending SETUP adds.
-func (sess *frontSession) pendingTrack(n int) track {
-	pr := sess.pendingOps[n]
-	if pr != nil {
-		if p, err := rtsp.ParseURL(pr.req.URL); err == nil {
-			for _, t := range sess.tracks {
-				if t.number == max(p.Track, 0) {
-					return t
-				}
-			}
-		}
-	}
-	return sess.tracks[len(sess.tracks)-1]
-}
-
 // CloseConn implements session.Actions.
 func (a frontActions) CloseConn(id choice.SessID, attempt int) {
 	if c := a.f.connOf[id]; c != nil && c.attempt == attempt {
@@ -428,7 +420,6 @@
 			f.table.ProbeEnded(box, status, outcome, rep)
 		}
 	}
-	noReport := choice.LoadReport{Link: -1, Uplink: -1}
 	f.connect(f.ctx, box, func(c *boxConn) {
 		if c == nil {
 			finish(0, choice.NoConnection, noReport)
@@ -503,22 +494,17 @@
 	delete(sess.pendingOps, op)
 	if result != session.Done {
 		if pr.req.Method == rtsp.Setup {
-			p, _ := rtsp.ParseURL(pr.req.URL)
-			sess.tracks = slices.DeleteFunc(sess.tracks, func(o track) bool { return o.number == max(p.Track, 0) })
+			sess.removeTrack(pr.track)
 		}
 		sess.viewer.respondStatus(pr, replyStatus[result])
 		return
 	}
 	switch pr.req.Method {
 	case rtsp.Setup:
-		p, _ := rtsp.ParseURL(pr.req.URL)
-		for _, t := range sess.tracks {
-			if t.number == max(p.Track, 0) {
-				sess.stream.AddTrack(t.boxChannel, &relay.Track{RTPChannel: t.rtpChannel, RTCPChannel: t.rtcpChannel, ClockRate: mediaTracks[t.number].clockRate})
-				sess.viewer.respond(pr, rtsp.NewResponse(pr.req, rtsp.OK).WithHeader("Session", a.f.sessionHeader(sess)).
-					WithHeader("Transport", rtsp.Transport{RTPChannel: t.rtpChannel, RTCPChannel: t.rtcpChannel}.String()))
-			}
-		}
+		t := pr.track
+		sess.stream.AddTrack(t.boxChannel, &relay.Track{RTPChannel: t.rtpChannel, RTCPChannel: t.rtcpChannel, ClockRate: mediaTracks[t.number].clockRate})
+		sess.viewer.respond(pr, rtsp.NewResponse(pr.req, rtsp.OK).WithHeader("Session", a.f.sessionHeader(sess)).
+			WithHeader("Transport", rtsp.Transport{RTPChannel: t.rtpChannel, RTCPChannel: t.rtcpChannel}.String()))
 	case rtsp.Play:
 		sess.viewer.respond(pr, sess.playResponse(pr))
 		sess.stream.Open()
--- a/internal/front/viewer.go
+++ b/internal/front/viewer.go
@@ -48,6 +48,7 @@
 	req     *rtsp.Message
 	resp    *rtsp.Message
 	session *frontSession // the one that a SETUP requested; nil for other requests
+	track   track         // the one that a SETUP adds to a session; unused for other requests
 }
 
 // frontSession is the protocol state of a session: its viewer, tracks and pending requests.
@@ -58,7 +59,7 @@
 	bandwidth   float64 // bits per second that the viewer declared; 0 if none, negative if it is not known here
 	bestRung    int     // highest rung the viewer's bandwidth allows
 	place       rtsp.Resource
-	tracks      []track
+	tracks      []track                 // set up, or asked for by a pending SETUP; at most one of a number, and never none
 	stream      *relay.Stream           // nil as long as viewer is nil
 	requestedAt float64                 // on the front's clock
 	firstSetup  *pendingRequest         // the SETUP that requested it; nil once answered
@@ -425,6 +426,11 @@
 		v.respondStatus(pr, rtsp.NotFound)
 		return
 	}
+	joined := v.sessionToJoin(m, place)
+	if joined != nil && joined.hasTrack(number) { // its transport can't be changed (RFC 2326, section 10.4)
+		v.respondStatus(pr, rtsp.NotValidInThisState)
+		return
+	}
 	t := track{number: number, rtpChannel: transport.RTPChannel, rtcpChannel: transport.RTCPChannel}
 	if !transport.Interleaved {
 		if t.rtpChannel, t.rtcpChannel, ok = v.freeChannels(); !ok {
@@ -435,12 +441,8 @@
 		v.respondStatus(pr, rtsp.UnsupportedTransport)
 		return
 	}
-	if joined := v.sessionToJoin(m, place); joined != nil {
-		t.boxChannel = byte(2 * len(joined.tracks))
-		v.lastOp++
-		joined.pendingOps[v.lastOp] = pr
-		joined.tracks = append(joined.tracks, t)
-		f.table.RequestOp(joined.id, session.Join, v.lastOp)
+	if joined != nil {
+		v.joinTrack(pr, joined, t)
 		return
 	}
 	if m.Session() != "" {
@@ -463,6 +465,16 @@
 		BestRung: sess.bestRung, Length: title.Length})
 }
 
+// joinTrack has a SETUP add a track to a session.
+func (v *viewer) joinTrack(pr *pendingRequest, joined *frontSession, t track) {
+	t.boxChannel = joined.freeBoxChannel()
+	pr.track = t
+	v.lastOp++
+	joined.pendingOps[v.lastOp] = pr
+	joined.tracks = append(joined.tracks, t)
+	v.f.table.RequestOp(joined.id, session.Join, v.lastOp)
+}
+
 // attach connects a session to its viewer and creates the stream that relays its media.
 func (sess *frontSession) attach(v *viewer) {
 	f := v.f
@@ -502,6 +514,19 @@
 	return false
 }
 
+// freeBoxChannel returns the lowest pair of channels at the box that no track of the session has, by its first channel.
+func (sess *frontSession) freeBoxChannel() (low byte) {
+	for slices.ContainsFunc(sess.tracks, func(t track) bool { return t.boxChannel == low }) {
+		low += 2
+	}
+	return low
+}
+
+// removeTrack removes a track that the box has refused.
+func (sess *frontSession) removeTrack(refused track) {
+	sess.tracks = slices.DeleteFunc(sess.tracks, func(t track) bool { return t == refused })
+}
+
 func (v *viewer) channelInUse(channel byte) bool {
 	for _, sess := range v.sessions {
 		for _, t := range sess.tracks {
