front: connections to a box's old address carry no new session

Cause: the pool kept connections by the box's number, whatever the address; a dial under way, the teardown of orphans and what counts as the box's report went by the number too.

Change: choice/pool keeps connections by pool.Endpoint, the box at its address. What is not listed any more is closed after its session, a dial that ends there is made anew, orphans are torn down at their own address, and the old process's reports are not counted for the new.

--- a/choice/pool/pool.go
+++ b/choice/pool/pool.go
@@ -9,6 +9,13 @@
 	"rainhaven/choice"
 )
 
+// Endpoint is a box at an address. A box that is listed at another address than before is another process, which the connections to
+// the earlier one don't reach.
+type Endpoint struct {
+	Box     choice.ServerID
+	Address string // host:port
+}
+
 // ConnID identifies a connection; the front assigns the numbers.
 type ConnID uint64
 
@@ -34,18 +41,18 @@
 // Pool tracks the connections of one front to its boxes.
 type Pool struct {
 	maxPerBox int
-	boxes     map[choice.ServerID]*boxConns // an entry is deleted when its last connection is closed
+	endpoints map[Endpoint]*boxConns // an entry is deleted when its last connection is closed
 }
 
 // New returns a pool that allows perBox connections to each box, at least one.
-func New(perBox int) *Pool { return &Pool{max(perBox, 1), map[choice.ServerID]*boxConns{}} }
+func New(perBox int) *Pool { return &Pool{max(perBox, 1), map[Endpoint]*boxConns{}} }
 
 // SetMaxPerBox changes the limit of connections per box. Open connections beyond a lower limit stay open.
 func (p *Pool) SetMaxPerBox(n int) { p.maxPerBox = max(n, 1) }
 
 // Get takes the most recently used idle connection to a box out of the pool, if there is one.
-func (p *Pool) Get(id choice.ServerID) (ConnID, bool) {
-	b := p.boxes[id]
+func (p *Pool) Get(at Endpoint) (ConnID, bool) {
+	b := p.endpoints[at]
 	if b == nil || len(b.idle) == 0 {
 		return 0, false
 	}
@@ -55,11 +62,11 @@
 }
 
 // Reserve reports whether another connection to a box may be opened, and if so counts it as open until Closed is called.
-func (p *Pool) Reserve(id choice.ServerID) bool {
-	b := p.boxes[id]
+func (p *Pool) Reserve(at Endpoint) bool {
+	b := p.endpoints[at]
 	if b == nil {
 		b = &boxConns{}
-		p.boxes[id] = b
+		p.endpoints[at] = b
 	}
 	if b.open >= p.maxPerBox {
 		return false
@@ -80,8 +87,8 @@
 }
 
 // Put returns a connection to the pool. If it reports false, the caller must close the connection.
-func (p *Pool) Put(id choice.ServerID, c ConnID, now float64) bool {
-	b := p.boxes[id]
+func (p *Pool) Put(at Endpoint, c ConnID, now float64) bool {
+	b := p.endpoints[at]
 	if b == nil || len(b.idle) >= maxIdle || slices.ContainsFunc(b.idle, func(i idleConn) bool { return i.conn == c }) {
 		return false
 	}
@@ -90,21 +97,21 @@
 }
 
 // Closed records that a connection was closed by either side.
-func (p *Pool) Closed(id choice.ServerID, c ConnID) {
-	b := p.boxes[id]
+func (p *Pool) Closed(at Endpoint, c ConnID) {
+	b := p.endpoints[at]
 	if b == nil {
 		return
 	}
 	b.idle = slices.DeleteFunc(b.idle, func(i idleConn) bool { return i.conn == c })
 	if b.open--; b.open <= 0 {
-		delete(p.boxes, id)
+		delete(p.endpoints, at)
 	}
 }
 
 // Expired removes and returns the connections that have been idle for too long. The caller closes each of them and calls
 // Closed.
 func (p *Pool) Expired(now float64) (list []ConnID) {
-	for _, b := range p.boxes {
+	for _, b := range p.endpoints {
 		for len(b.idle) > 0 && now-b.idle[0].since >= idleTimeout {
 			list = append(list, b.idle[0].conn)
 			b.idle = b.idle[1:]
@@ -116,7 +123,7 @@
 
 // Count returns how many connections are open and how many of those are idle.
 func (p *Pool) Count() (open, idle int) {
-	for _, b := range p.boxes {
+	for _, b := range p.endpoints {
 		open += b.open
 		idle += len(b.idle)
 	}
--- a/choice/pool/pool_test.go
+++ b/choice/pool/pool_test.go
@@ -4,18 +4,20 @@
 	"testing"
 
 	"pgregory.net/rapid"
-	"rainhaven/choice"
 )
 
+// endpoints are those of the tests; the second box has two addresses.
+var endpoints = []Endpoint{{1, "a:554"}, {2, "b:554"}, {2, "c:554"}, {3, "d:554"}}
+
 // Compares the pool with a model of plain maps: limits hold, no connection is handed out twice, and none is leaked.
 func TestPool(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		per := rapid.IntRange(1, 6).Draw(t, "per box")
 		k, now, serial := New(per), 0.0, ConnID(0)
-		busy, idle := map[ConnID]choice.ServerID{}, map[ConnID]choice.ServerID{}
-		on := func(id choice.ServerID, of map[ConnID]choice.ServerID) (n int) {
+		busy, idle := map[ConnID]Endpoint{}, map[ConnID]Endpoint{}
+		on := func(at Endpoint, of map[ConnID]Endpoint) (n int) {
 			for _, b := range of {
-				if b == id {
+				if b == at {
 					n++
 				}
 			}
@@ -23,10 +25,10 @@
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"open": func(t *rapid.T) {
-				id := choice.ServerID(rapid.IntRange(1, 3).Draw(t, "box"))
+				id := endpoints[rapid.IntRange(0, len(endpoints)-1).Draw(t, "endpoint")]
 				if c, ok := k.Get(id); ok {
 					if idle[c] != id {
-						t.Fatalf("connection %d is not idle at %d", c, id)
+						t.Fatalf("connection %d is not idle at %v", c, id)
 					}
 					delete(idle, c)
 					busy[c] = id
@@ -82,9 +84,9 @@
 				if open != len(busy)+len(idle) || unused != len(idle) {
 					t.Fatalf("%d open, %d idle; want %d, %d", open, unused, len(busy)+len(idle), len(idle))
 				}
-				for id := choice.ServerID(1); id <= 3; id++ {
+				for _, id := range endpoints {
 					if on(id, idle) > maxIdle || on(id, idle)+on(id, busy) > per {
-						t.Fatalf("box %d: %d idle, %d busy", id, on(id, idle), on(id, busy))
+						t.Fatalf("%v: %d idle, %d busy", id, on(id, idle), on(id, busy))
 					}
 				}
 			},
@@ -96,8 +98,8 @@
 		for c, id := range busy {
 			k.Closed(id, c)
 		}
-		if open, unused := k.Count(); open+unused+len(k.boxes) > 0 {
-			t.Fatalf("leaked: %d open, %d idle, %d boxes", open, unused, len(k.boxes))
+		if open, unused := k.Count(); open+unused+len(k.endpoints) > 0 {
+			t.Fatalf("leaked: %d open, %d idle, %d endpoints", open, unused, len(k.endpoints))
 		}
 	})
 }
--- a/internal/front/boxes.go
+++ b/internal/front/boxes.go
@@ -22,13 +22,12 @@
 
 // boxConn is a connection to a box. It carries one session, probe, DESCRIBE or TEARDOWN of an orphan at a time.
 type boxConn struct {
-	f       *Front
-	id      pool.ConnID
-	box     choice.ServerID
-	address string // host:port of the box
-	conn    *rtsp.Conn
-	out     *relay.Queue
-	stream  atomic.Pointer[relay.Stream]
+	f  *Front
+	id pool.ConnID
+	pool.Endpoint
+	conn   *rtsp.Conn
+	out    *relay.Queue
+	stream atomic.Pointer[relay.Stream]
 
 	// Owned by the loop.
 	cseq       int
@@ -43,34 +42,30 @@
 	closed      bool
 }
 
-// connect passes an idle or new connection to a box to onConn, or nil if there is none. onConn runs in the loop, after the
-// actions in progress.
+// connect passes an idle or new connection to a box, at the address where it is listed, to onConn, or nil if there is none. onConn runs
+// in the loop, after the actions in progress.
 func (f *Front) connect(ctx context.Context, box choice.ServerID, onConn func(*boxConn)) {
-	if id, ok := f.pool.Get(box); ok {
+	f.connectTo(ctx, pool.Endpoint{Box: box, Address: f.addresses[box]}, onConn)
+}
+
+// connectTo is connect for a box at an address where it may be listed no more: only connections that are open are used then.
+func (f *Front) connectTo(ctx context.Context, at pool.Endpoint, onConn func(*boxConn)) {
+	if id, ok := f.pool.Get(at); ok {
 		c := f.boxConns[id]
 		f.deferred = append(f.deferred, func() { onConn(c) })
 		return
 	}
-	address, listed := f.addresses[box]
-	if !listed || !f.pool.Reserve(box) {
+	if !f.isListed(at) || !f.pool.Reserve(at) {
 		f.deferred = append(f.deferred, func() { onConn(nil) })
 		return
 	}
 	f.wg.Add(1)
 	go func() {
 		defer f.wg.Done()
-		ctx, cancel := context.WithTimeout(ctx, time.Duration(f.config().Limits.ConnectTimeout*1e9))
+		dialCtx, cancel := context.WithTimeout(ctx, time.Duration(f.config().Limits.ConnectTimeout*1e9))
 		defer cancel()
-		raw, err := f.dial(ctx, address)
-		f.post(func() {
-			if err != nil {
-				f.pool.Closed(box, 0)
-				f.log.Debug("connecting to a box failed", zap.Uint32("box", uint32(box)), zap.Error(err))
-				onConn(nil)
-				return
-			}
-			onConn(f.startBoxConn(box, address, raw))
-		})
+		raw, err := f.dial(dialCtx, at.Address)
+		f.post(func() { f.dialed(ctx, at, raw, err, onConn) })
 		if err == nil {
 			select {
 			case <-f.done: // the loop may have ended before it received the connection
@@ -81,10 +76,34 @@
 	}()
 }
 
+// dialed handles the end of an attempt to connect. If the box has another address by now, it is connected to there.
+func (f *Front) dialed(ctx context.Context, at pool.Endpoint, raw net.Conn, err error, onConn func(*boxConn)) {
+	switch {
+	case err == nil && f.isListed(at):
+		onConn(f.startBoxConn(at, raw))
+		return
+	case err == nil:
+		raw.Close()
+	default:
+		f.log.Debug("connecting to a box failed", zap.Uint32("box", uint32(at.Box)), zap.Error(err))
+	}
+	f.pool.Closed(at, 0)
+	if f.isListed(at) {
+		onConn(nil)
+		return
+	}
+	f.connect(ctx, at.Box, onConn)
+}
+
+// isListed reports whether a box is listed at an address.
+func (f *Front) isListed(at pool.Endpoint) bool {
+	return at.Address != "" && f.addresses[at.Box] == at.Address
+}
+
 // startBoxConn starts the goroutines of a new connection to a box.
-func (f *Front) startBoxConn(box choice.ServerID, address string, raw net.Conn) *boxConn {
+func (f *Front) startBoxConn(at pool.Endpoint, raw net.Conn) *boxConn {
 	f.lastConnID++
-	c := &boxConn{f: f, id: pool.ConnID(f.lastConnID), box: box, address: address, conn: rtsp.NewConn(raw, rtsp.Limits{LineBytes: 2048}),
+	c := &boxConn{f: f, id: pool.ConnID(f.lastConnID), Endpoint: at, conn: rtsp.NewConn(raw, rtsp.Limits{LineBytes: 2048}),
 		out: relay.NewQueue(0), pending: map[int]func(*rtsp.Message){}}
 	f.boxConns[c.id] = c
 	f.wg.Add(2)
@@ -161,7 +180,7 @@
 	onAnswer, ok := c.pending[m.CSeq()]
 	if !ok || m.Session() != "" && c.boxSession != "" && m.Session() != c.boxSession {
 		c.f.metrics.stray.Inc()
-		c.f.log.Info("answer from a box matches no request", zap.Uint32("box", uint32(c.box)), zap.Int("cseq", m.CSeq()))
+		c.f.log.Info("answer from a box matches no request", zap.Uint32("box", uint32(c.Box)), zap.Int("cseq", m.CSeq()))
 		return
 	}
 	delete(c.pending, m.CSeq())
@@ -177,7 +196,7 @@
 func (c *boxConn) release() {
 	c.session, c.boxSession = nil, ""
 	c.stream.Store(nil)
-	if c.closed || len(c.pending) > 0 || !c.f.pool.Put(c.box, c.id, c.f.now()) {
+	if c.closed || len(c.pending) > 0 || !c.f.isListed(c.Endpoint) || !c.f.pool.Put(c.Endpoint, c.id, c.f.now()) {
 		c.close()
 	}
 }
@@ -196,7 +215,7 @@
 func (f *Front) handleBoxClosed(c *boxConn, err error) {
 	c.closed = true
 	delete(f.boxConns, c.id)
-	f.pool.Closed(c.box, c.id)
+	f.pool.Closed(c.Endpoint, c.id)
 	if c.cancelled {
 		f.lateAnswers--
 	}
@@ -209,15 +228,23 @@
 		}
 	}
 	if c.tearDownURL != "" { // the box may not have received the TEARDOWN
-		f.tearDownOrphan(c.box, c.tearDownURL, c.boxSession)
+		f.tearDownOrphan(c.Endpoint, c.tearDownURL, c.boxSession)
 	}
 	if sess := c.session; sess != nil && f.connOf[sess.id] == c {
 		delete(f.connOf, sess.id)
-		f.log.Info("connection to a box broke", zap.Uint32("box", uint32(c.box)), zap.String("session", string(sess.id)), zap.Error(err))
+		f.log.Info("connection to a box broke", zap.Uint32("box", uint32(c.Box)), zap.String("session", string(sess.id)), zap.Error(err))
 		f.table.BoxFailed(sess.id, c.attempt)
 	}
 }
 
+// loadReport returns the load that a box reports in a message; none if the box is not listed at the connection's address any more.
+func (c *boxConn) loadReport(m *rtsp.Message) choice.LoadReport {
+	if !c.f.isListed(c.Endpoint) {
+		return noReport
+	}
+	return parseLoadReport(m)
+}
+
 // noReport is a load report that states no load.
 var noReport = choice.LoadReport{Link: -1, Uplink: -1}
 
@@ -254,7 +281,7 @@
 type frontActions struct{ f *Front }
 
 func (c *boxConn) url(sess *frontSession, track int) string {
-	return rtsp.Resource{Host: c.address, Group: sess.place.Group, Title: sess.place.Title, Track: track, Query: sess.place.Query}.URL()
+	return rtsp.Resource{Host: c.Address, Group: sess.place.Group, Title: sess.place.Title, Track: track, Query: sess.place.Query}.URL()
 }
 
 // Setup implements session.Actions.
@@ -302,7 +329,7 @@
 		return // handleBoxClosed reports the failure
 	case c.cancelled:
 		if m.Status/100 == 2 && m.Session() != "" {
-			f.tearDownOrphan(c.box, c.url(sess, -1), m.Session())
+			f.tearDownOrphan(c.Endpoint, c.url(sess, -1), m.Session())
 		}
 		c.close()
 		return
@@ -316,7 +343,7 @@
 		delete(f.connOf, sess.id)
 		c.releaseOrClose(pool.Reusable(status, false))
 	}
-	f.table.BoxAnswered(sess.id, attempt, m.Status, parseLoadReport(m))
+	f.table.BoxAnswered(sess.id, attempt, m.Status, c.loadReport(m))
 }
 
 // CancelSetup implements session.Actions. It closes the sending side, which notifies the box. The receiving side stays
@@ -395,7 +422,7 @@
 			delete(f.connOf, id)
 			c.releaseOrClose(pool.Reusable(m.Status, true))
 		}
-		f.table.OpAnswered(id, attempt, op, arg, m.Status, parseLoadReport(m))
+		f.table.OpAnswered(id, attempt, op, arg, m.Status, c.loadReport(m))
 	})
 }
 
@@ -431,14 +458,14 @@
 				c.close()
 			})
 		})
-		c.send(rtsp.NewRequest(rtsp.GetParameter, "rtsp://"+c.address+"/"), func(m *rtsp.Message) {
+		c.send(rtsp.NewRequest(rtsp.GetParameter, "rtsp://"+c.Address+"/"), func(m *rtsp.Message) {
 			timer.Stop()
 			if m == nil {
 				finish(0, choice.Reset, noReport)
 				return
 			}
 			if !finished {
-				finish(m.Status, 0, parseLoadReport(m))
+				finish(m.Status, 0, c.loadReport(m))
 				c.release()
 			}
 		})
--- a/internal/front/describe.go
+++ b/internal/front/describe.go
@@ -95,7 +95,7 @@
 				}
 			})
 		})
-		url := rtsp.Resource{Host: c.address, Group: f.config().Groups[0].Name, Title: title, Track: -1}.URL()
+		url := rtsp.Resource{Host: c.Address, Group: f.config().Groups[0].Name, Title: title, Track: -1}.URL()
 		c.send(rtsp.NewRequest(rtsp.Describe, url).WithHeader("Accept", "application/sdp"), func(m *rtsp.Message) {
 			timer.Stop()
 			if m == nil {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -290,10 +290,10 @@
 	now := f.now()
 	for id, c := range f.connOf {
 		if c.session.playing && c.session.stream != nil {
-			if limits.ViewerLimited(time.Since(f.startedAt).Seconds(), float64(c.session.stream.Queue().LastLimitedAt.Load())/1e9) {
+			if !f.isListed(c.Endpoint) || limits.ViewerLimited(time.Since(f.startedAt).Seconds(), float64(c.session.stream.Queue().LastLimitedAt.Load())/1e9) {
 				f.meter.Forget(id)
 			} else if at, media, ok := c.session.stream.Progress(); ok {
-				f.meter.Progress(id, c.box, now, f.startedUnix+at.Seconds(), media)
+				f.meter.Progress(id, c.Box, now, f.startedUnix+at.Seconds(), media)
 			}
 		}
 	}
--- a/internal/front/handover.go
+++ b/internal/front/handover.go
@@ -42,7 +42,7 @@
 				continue
 			}
 			h := HandoverSession{ID: id, Group: f.config().Groups[sess.group].Name, Title: sess.place.Title, Query: sess.place.Query, BestRung: sess.bestRung,
-				Rung: c.rung, Box: c.box, BoxSession: c.boxSession}
+				Rung: c.rung, Box: c.Box, BoxSession: c.boxSession}
 			for _, t := range sess.tracks {
 				h.Tracks = append(h.Tracks, HandoverTrack{t.number, t.rtpChannel, t.rtcpChannel, t.boxChannel})
 			}
@@ -89,7 +89,7 @@
 	f.connect(f.ctx, h.Box, func(c *boxConn) {
 		if f.sessions[sess.id] != sess { // its viewer has left
 			if c != nil {
-				f.tearDownOrphan(h.Box, c.url(sess, -1), h.BoxSession)
+				f.tearDownOrphan(c.Endpoint, c.url(sess, -1), h.BoxSession)
 				c.release()
 			}
 			return
@@ -121,7 +121,7 @@
 	f.connOf[sess.id] = c
 	c.send(rtsp.NewRequest(rtsp.GetParameter, c.url(sess, -1)).WithHeader("Session", h.BoxSession), func(m *rtsp.Message) {
 		if m != nil {
-			f.table.OpAnswered(sess.id, 1, session.KeepAlive, 0, m.Status, parseLoadReport(m))
+			f.table.OpAnswered(sess.id, 1, session.KeepAlive, 0, m.Status, c.loadReport(m))
 		}
 	})
 }
--- a/internal/front/list.go
+++ b/internal/front/list.go
@@ -29,7 +29,7 @@
 			sess := f.sessions[id]
 			info := SessionInfo{ID: string(id), Group: config.Groups[sess.group].Name, Title: sess.place.Title, Playing: sess.playing, Seconds: f.now() - sess.requestedAt}
 			if c := f.connOf[id]; c != nil {
-				info.Box, info.Rung = uint32(c.box), c.rung
+				info.Box, info.Rung = uint32(c.Box), c.rung
 			}
 			list = append(list, info)
 		}
--- a/internal/front/orphan.go
+++ b/internal/front/orphan.go
@@ -5,7 +5,6 @@
 
 	"go.uber.org/zap"
 
-	"rainhaven/choice"
 	"rainhaven/choice/limits"
 	"rainhaven/choice/pool"
 	"rainhaven/internal/rtsp"
@@ -14,7 +13,7 @@
 // orphan is a session at a box that belongs to no viewer: the box set it up after its SETUP was cancelled, or its TEARDOWN was lost
 // with its connection.
 type orphan struct {
-	box       choice.ServerID
+	at        pool.Endpoint
 	url       string
 	session   string  // its id at the box
 	expiresAt float64 // when the attempts to tear it down end
@@ -22,17 +21,17 @@
 
 // tearDownOrphan tears down an orphaned session over another connection than its own. An attempt that finds no connection, or loses
 // it, is repeated for limits.OrphanTimeout; after that the session is left to the box's own timeout.
-func (f *Front) tearDownOrphan(box choice.ServerID, url, session string) {
+func (f *Front) tearDownOrphan(at pool.Endpoint, url, session string) {
 	if f.orphans++; f.orphans > limits.MaxOrphans {
 		f.orphanEnded(orphanLeft)
 		return
 	}
-	f.tryOrphan(orphan{box: box, url: url, session: session, expiresAt: f.now() + limits.OrphanTimeout})
+	f.tryOrphan(orphan{at: at, url: url, session: session, expiresAt: f.now() + limits.OrphanTimeout})
 }
 
 // tryOrphan makes one attempt to tear down an orphaned session.
 func (f *Front) tryOrphan(o orphan) {
-	f.connect(f.ctx, o.box, func(c *boxConn) {
+	f.connectTo(f.ctx, o.at, func(c *boxConn) {
 		if c == nil {
 			f.retryOrphan(o)
 			return
@@ -50,11 +49,11 @@
 	})
 }
 
-// retryOrphan repeats an attempt after a pause, unless its time is over or the box is gone from the list.
+// retryOrphan repeats an attempt after a pause, unless its time is over or the box is not listed there any more.
 func (f *Front) retryOrphan(o orphan) {
-	if _, listed := f.addresses[o.box]; !listed || f.now()+limits.OrphanRetryInterval > o.expiresAt {
+	if !f.isListed(o.at) || f.now()+limits.OrphanRetryInterval > o.expiresAt {
 		f.orphanEnded(orphanLeft)
-		f.log.Info("an orphaned session is left at its box", zap.Uint32("box", uint32(o.box)))
+		f.log.Info("an orphaned session is left at its box", zap.Uint32("box", uint32(o.at.Box)))
 		return
 	}
 	time.AfterFunc(time.Duration(limits.OrphanRetryInterval*1e9), func() { f.post(func() { f.tryOrphan(o) }) })
--- a/internal/front/viewer.go
+++ b/internal/front/viewer.go
@@ -562,13 +562,13 @@
 // handleLoadNote passes a load note on to the table, at most one per box and interval.
 func (f *Front) handleLoadNote(sess *frontSession, link, uplink float64) {
 	c := f.connOf[sess.id]
-	if c == nil || !f.meter.AcceptNote(c.box, f.now(), link, uplink) {
+	if c == nil || !f.isListed(c.Endpoint) || !f.meter.AcceptNote(c.Box, f.now(), link, uplink) {
 		return
 	}
 	f.metrics.loadNotes.Inc()
-	f.table.LoadNote(sess.id, c.box, link, false)
+	f.table.LoadNote(sess.id, c.Box, link, false)
 	if uplink >= 0 {
-		f.table.LoadNote(sess.id, c.box, uplink, true)
+		f.table.LoadNote(sess.id, c.Box, uplink, true)
 	}
 }
 
