front: a viewer's request, and what is read ahead of it, has 16 KiB at most

The node didn't show it (42 MB at most).

Cause: viewers were read by package rtsp's default limits, which fit boxes: 512 KiB a message and 160 KiB of read-ahead, held until the request's end.

--- a/choice/limits/limits.go
+++ b/choice/limits/limits.go
@@ -56,6 +56,10 @@
 // of which takes memory.
 const MaxPipelined = 16
 
+// MaxRequestBytes bounds a viewer's request, its body and an interleaved frame from a viewer, in bytes, and with them what a connection
+// holds of a request whose rest never comes. Requests of players have less than 2 kB, and a report of receivers fits a datagram.
+const MaxRequestBytes = 16 << 10
+
 // maxRoundTrip is the longest round trip to a viewer in seconds; SETUP timeouts are two to three of them.
 const maxRoundTrip = 1.0
 
--- a/internal/front/viewer.go
+++ b/internal/front/viewer.go
@@ -83,9 +83,12 @@
 	boxChannel              byte
 }
 
+// requestBounds are the limits of what a viewer sends.
+var requestBounds = rtsp.Limits{BodyBytes: limits.MaxRequestBytes, MessageBytes: limits.MaxRequestBytes, FrameBytes: limits.MaxRequestBytes, BufferBytes: limits.MaxRequestBytes}
+
 // startViewer starts the goroutines of a viewer connection.
 func (f *Front) startViewer(c net.Conn) {
-	v := &viewer{f: f, conn: rtsp.NewConn(c, rtsp.Limits{}), out: relay.NewQueue(f.config().Limits.QueueBytes),
+	v := &viewer{f: f, conn: rtsp.NewConn(c, requestBounds), out: relay.NewQueue(f.config().Limits.QueueBytes),
 		inFlight: make(chan struct{}, limits.MaxPipelined), sessions: map[choice.SessID]*frontSession{}}
 	f.wg.Add(2)
 	go func() {
