front: what a viewer has left unread is not carried out after it has gone

Cause: a front reads on only while fewer than 16 requests are unanswered, and the end of the connection stands behind what is unread; each answer let one more SETUP be read and carried out.

A SETUP of a viewer that has closed ends the reading, and a reader that waits for answers looks every 50 ms (limits.CloseCheckInterval).

--- a/choice/limits/limits.go
+++ b/choice/limits/limits.go
@@ -56,6 +56,10 @@
 // of which takes memory.
 const MaxPipelined = 16
 
+// CloseCheckInterval is the time in seconds between two looks for the end of a viewer's connection from which nothing is read. No attempt
+// may begin later than 0.1 s after a viewer has left.
+const CloseCheckInterval = 0.05
+
 // MaxRequestBytes bounds a viewer's request, its body and an interleaved frame from a viewer, in bytes, and with them what a connection
 // holds of a request whose rest never comes. Requests of players have less than 2 kB, and a report of receivers fits a datagram.
 const MaxRequestBytes = 16 << 10
--- a/internal/front/viewer.go
+++ b/internal/front/viewer.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"io"
 	"maps"
 	"math"
 	"net"
@@ -181,12 +182,37 @@
 		if !m.IsRequest() {
 			continue // a response, such as to REDIRECT, needs no action
 		}
+		if err := v.awaitRoom(); err != nil {
+			return err
+		}
+		if m.Method == rtsp.Setup && rtsp.PeerClosed(v.conn.Conn) {
+			return io.EOF // it is not carried out for a viewer that has left
+		}
+		v.f.post(func() { v.handleRequest(m) })
+	}
+}
+
+// awaitRoom waits until a further request may be unanswered. What the viewer has sent is unread meanwhile, and the end of its connection
+// behind that, so it is looked for every limits.CloseCheckInterval.
+func (v *viewer) awaitRoom() error {
+	select {
+	case v.inFlight <- struct{}{}:
+		return nil
+	default:
+	}
+	ticker := time.NewTicker(time.Duration(limits.CloseCheckInterval * 1e9))
+	defer ticker.Stop()
+	for {
 		select {
 		case v.inFlight <- struct{}{}:
+			return nil
 		case <-v.f.done:
 			return net.ErrClosed
+		case <-ticker.C:
+			if rtsp.PeerClosed(v.conn.Conn) {
+				return io.EOF
+			}
 		}
-		v.f.post(func() { v.handleRequest(m) })
 	}
 }
 
