node: the id of a request that may have run does not run again

Cause: an id was known only while its session was in the table.

Change: the ids of ended requests that may have run are remembered, the latest share.MaxRanIDs, and a SETUP under one of them gets 400. What provably never ran may come again.

--- a/choice/share/share.go
+++ b/choice/share/share.go
@@ -75,6 +75,10 @@
 // viewers that claim sessions without end.
 func MaxHandedOver(megabytes int) int { return 100 * max(megabytes, 16) }
 
+// MaxRanIDs is the number of ids of ended requests that are remembered, so that none runs twice: at some hundred requests a second those of
+// the last minutes, in less than 2 MB.
+const MaxRanIDs = 1 << 15
+
 // Stale reports whether a connection to a server that was last used at lastUsed is to be closed, before the server closes it
 // after idle seconds.
 func Stale(now, lastUsed, idle float64) bool { return idle > 0 && now-lastUsed > 0.8*idle }
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -329,6 +329,12 @@
 		n.rejectRequest(cl, m, rtsp.BadRequest)
 		return
 	}
+	if n.ranIDs.contains(setup.id) {
+		n.log.Debug("refused a SETUP whose id has run before", str("sess", setup.id), str("from", cl.peer()))
+		n.counts["id again"]++
+		n.rejectRequest(cl, m, rtsp.BadRequest)
+		return
+	}
 	if cl.TooManyPending(n.openRequests) {
 		n.log.Debug("too many open requests", str("from", cl.peer()), num("open", cl.Pending), num("all", n.openRequests))
 		n.counts["past the bound"]++
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,6 +56,7 @@
 	establishedAt        float64        // when it was answered, or handed over to this node
 	setUpOn              *serverConn    // the connection that brought the answer; nil if it was handed over
 	earlyRelease         *serverRelease // its server's release, if that arrived before the answer
+	mayHaveRun           bool           // a SETUP of it may have run at a server
 	localRetries         int            // how often this machine had no connection for its SETUP
 	history              history
 }
@@ -90,6 +91,7 @@
 	serversByID     map[string]*server          // removed with servers
 	abandonedSetups map[abandonedSetup]bool     // SETUPs ended unanswered; removed after rememberSeconds
 	endedSessions   endedSessions
+	ranIDs          ranIDs
 	pendingReleases []*pendingRelease // at most maxPendingReleases; dropped when they expire
 	clients         []*client
 	clientSlots     *connSlots    // bounds the client connections
@@ -171,6 +173,7 @@
 		serversByID:     map[string]*server{},
 		abandonedSetups: map[abandonedSetup]bool{},
 		endedSessions:   newEndedSessions(),
+		ranIDs:          newRanIDs(),
 		clientSlots:     newConnSlots(share.MaxViewerConns(o.Config.MaxDescriptors, 0)),
 		counts:          map[string]int{},
 	}
--- a/internal/node/sessions.go
+++ b/internal/node/sessions.go
@@ -65,6 +65,7 @@
 		outcome = choice.EndedUnanswered
 	}
 	n.guard.AttemptEnded(s.id, provesNoEffect(outcome))
+	s.mayHaveRun = s.mayHaveRun || !provesNoEffect(outcome)
 	s.history.add(n.now, stepOutcome, outcomeName(outcome))
 	s.history.unusual = s.history.unusual || outcome == choice.Reset || outcome == choice.EndedUnanswered
 	n.log.Debug("SETUP ended", str("sess", s.id), str("server", sv.id), num("outcome", int(outcome)))
@@ -148,6 +149,7 @@
 func (n *Node) cancelRequest(s *session) {
 	state, sv := s.state, s.server
 	if state == attempting && !n.recallSetup(s) {
+		s.mayHaveRun = true
 		n.cancelSetup(s, false)
 	}
 	n.detachSetup(s)
@@ -172,6 +174,9 @@
 	n.detachSetup(s)
 	n.guard.Dropped(s.id)
 	n.detachClient(s)
+	if s.mayHaveRun || s.state == established {
+		n.ranIDs.add(s.id)
+	}
 	if s.state != established {
 		n.openRequests--
 	} else if s.server != nil {
