invariant: times that leave the retry budget's window are not moved one by one

At 20,000 requests a second in a window of 5 s, as one flooding client may have a node read, each request moved the 100,000 times of the window: 35.0 us, now 0.18 us (BenchmarkRequestRead, 20,000 iterations, once each). The times that are left are sliced, and the next append moves them once in a while. internal/invariant green.

--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -234,11 +234,11 @@
 	}
 }
 
-// timesAfter removes the times up to and including limit from a sorted list.
+// timesAfter returns the times after limit of a sorted list. They are not moved: what is appended later moves them once in a while.
 func timesAfter(times []float64, limit float64) []float64 {
 	k := 0
 	for k < len(times) && times[k] <= limit {
 		k++
 	}
-	return append(times[:0], times[k:]...)
+	return times[k:]
 }
