--- a/internal/front/moved_test.go
+++ b/internal/front/moved_test.go
@@ -98,3 +98,27 @@
 	<-done
 	b.expectSetups(0, 1)
 }
+
+// A reload lists a new box at the address of one that is gone: its sessions get connections of their own, although one to the box that is
+// gone is kept.
+func TestNewBoxAtAnOldAddress(t *testing.T) {
+	var dials atomic.Int64
+	b := newHarnessWithDial(t, 2, nil, func(ctx context.Context, address string) (net.Conn, error) {
+		dials.Add(1)
+		var d net.Dialer
+		return d.DialContext(ctx, "tcp", address)
+	})
+	b.listOnly(0)
+	b.watchOnce() // leaves a connection in the pool
+	config := b.config
+	config.Boxes = []settings.Box{b.config.Boxes[1]}
+	config.Boxes[0].Address = b.boxes[0].Address
+	if plan, err := b.Reload(config); err != nil || len(plan.Rejections) > 0 {
+		t.Fatalf("%+v %v", plan, err)
+	}
+	b.watchOnce()
+	b.expectSetups(2, 0)
+	if n := dials.Load(); n != 2 {
+		t.Errorf("%d connections for the session of each box", n)
+	}
+}
