front tests: SETUPs of a viewer that left are counted, not timed

TestSetupsOfAViewerThatLeft judged by the arrival 0.1 s after the close, which a busy machine delays without fault.

--- a/internal/front/left_test.go
+++ b/internal/front/left_test.go
@@ -5,17 +5,18 @@
 	"testing"
 	"time"
 
+	"rainhaven/choice/limits"
 	"rainhaven/internal/lab/box"
 	"rainhaven/internal/rtsp"
 	"rainhaven/internal/settings"
 )
 
-// A viewer pipelines many SETUPs and closes its connection: none is sent to a box later than the limit after the close, although the
-// front reads on only as earlier ones are answered. All of what had been read ahead was sent to boxes.
+// A viewer pipelines many SETUPs and closes its connection before any is answered: only those that the front had read by then, as many as
+// it reads without an answer, were sent to a box. All of what it had read ahead was sent, as answers came.
 func TestSetupsOfAViewerThatLeft(t *testing.T) {
 	const (
-		setups        = 60
-		attemptsUntil = 100 * time.Millisecond // after the close
+		setups  = 60
+		watched = time.Second // several times a box's answer
 	)
 	b := newHarness(t, 8, func(_ *settings.Config, site *box.Config) { site.SetupTime = 0.3 })
 	c := b.dial()
@@ -27,16 +28,11 @@
 	if _, err := c.Write(out); err != nil {
 		t.Fatal(err)
 	}
-	time.Sleep(20 * time.Millisecond)
+	b.eventually("SETUPs have arrived", func() bool { return b.setupsAtBoxes() > 0 })
 	c.Close()
-	time.Sleep(attemptsUntil)
-	begun := b.setupsAtBoxes()
-	if begun == 0 {
-		t.Fatal("no SETUP arrived before the close")
-	}
-	time.Sleep(time.Second)
-	if n := b.setupsAtBoxes(); n != begun {
-		t.Errorf("%d SETUPs later than %v after the close", n-begun, attemptsUntil)
+	time.Sleep(watched)
+	if n := b.setupsAtBoxes(); n > limits.MaxPipelined {
+		t.Errorf("%d SETUPs for a viewer that left while %d were unanswered", n, limits.MaxPipelined)
 	}
 	b.eventually("no session is left", func() bool { // at boxes either
 		n := b.Sessions()
