--- a/internal/node/exitflood_test.go
+++ b/internal/node/exitflood_test.go
@@ -8,7 +8,7 @@
 )
 
 // A node exits while one client sends at full speed: the client's reader stops, having passed on all that it read, before its connection
-// is closed. It reads on through what is buffered, past the time that the exit gives it.
+// is closed. The guard reports close_unread.
 func TestExitBesideAFlood(t *testing.T) {
 	for name, message := range map[string]func(k int) string{
 		"tests": func(int) string { return "OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n" },
